Add the data path of a node: settings, bodies, dispatch and claims

Cause: the decision packages need a process that uses them.

Change: settings with checks, metrics, body read-ahead within a byte budget, the calling side with retries and claims.

Ruled out: reading the whole body before the call, because uploads are larger than the memory of a node.

--- /dev/null
+++ b/hemlocknode/answer.go
@@ -0,0 +1,64 @@
+package hemlocknode
+
+import (
+	"bytes"
+	"io"
+	"sync"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockhttp"
+)
+
+// isBounded reports whether a response is withheld until it is whole.
+func isBounded(response *hemlockcall.Response) bool {
+	return response.Length >= 0 && response.Length <= hemlockhttp.BoundedAnswer
+}
+
+// collect reads a bounded response to its end, so that a break becomes an error before anything is passed on.
+func collect(response *hemlockcall.Response) (*hemlockcall.Response, error) {
+	if !isBounded(response) {
+		return response, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	body := make([]byte, 0, response.Length+bytes.MinRead)
+	buffer := bytes.NewBuffer(body)
+	if _, err := buffer.ReadFrom(response.Body); err != nil {
+		return nil, hemlockcall.Doubt(hemlockcall.ReasonIncomplete, "response broke off: "+err.Error())
+	}
+	feedback := response.Feedback()
+	return &hemlockcall.Response{
+		Status:   response.Status,
+		Header:   response.Header,
+		Body:     io.NopCloser(bytes.NewReader(buffer.Bytes())),
+		Length:   int64(buffer.Len()),
+		Feedback: func() hemlockcall.Feedback { return feedback },
+	}, nil
+}
+
+// observedBody calls done once: with true when the body was read to its verified end, with false when it broke off or
+// was closed early.
+type observedBody struct {
+	io.ReadCloser
+	once sync.Once
+	done func(complete bool)
+}
+
+func observe(body io.ReadCloser, done func(complete bool)) io.ReadCloser {
+	return &observedBody{ReadCloser: body, done: done}
+}
+
+// Read implements io.Reader.
+func (o *observedBody) Read(p []byte) (int, error) {
+	n, err := o.ReadCloser.Read(p)
+	if err != nil {
+		o.once.Do(func() { o.done(err == io.EOF) })
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (o *observedBody) Close() error {
+	err := o.ReadCloser.Close()
+	o.once.Do(func() { o.done(false) })
+	return err
+}
--- /dev/null
+++ b/hemlocknode/calls.go
@@ -0,0 +1,240 @@
+package hemlocknode
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockconfiguration"
+	"hemlockhollow/hemlockretry"
+	"hemlockhollow/hemlocktarget"
+	"hemlockhollow/hemlocktrace"
+)
+
+// Calls turns incoming requests into calls: those of callers at the entry, and those that the local target makes.
+type Calls struct {
+	configuration *hemlockconfiguration.Holder
+	dispatcher    *Dispatcher
+	claims        Claims
+	repeats       *hemlockretry.RepeatBudget
+	running       *hemlocktrace.Table
+	budget        *byteBudget
+	metrics       *Metrics
+	log           logr.Logger
+	// background counts stores and releases of claims that outlive their request; a graceful shutdown waits for them.
+	background sync.WaitGroup
+}
+
+// Credentials are what a caller says of itself.
+type Credentials struct {
+	// Customer is the claimed name; it counts only when the configuration accepts the token.
+	Customer, Token string
+}
+
+// Enter serves a request of a caller.
+func (c *Calls) Enter(ctx context.Context, request *hemlockcall.Request, from Credentials) (*hemlockcall.Response, error) {
+	start := time.Now()
+	response, err := c.enter(ctx, start, request, from)
+	c.metrics.countCall(stageEntry, request.Context.Priority, err, time.Since(start))
+	return response, err
+}
+
+func (c *Calls) enter(
+	ctx context.Context, start time.Time, request *hemlockcall.Request, from Credentials,
+) (*hemlockcall.Response, error) {
+	p, err := planRequest(c.configuration, request)
+	if err != nil {
+		return nil, err
+	}
+	customer, known := p.service.Customer(from.Customer, from.Token)
+	if !known {
+		customer.Name, customer.Rank = "", p.service.DefaultRank
+	}
+	request.Context = hemlockcall.Context{
+		Trace:     newTrace(),
+		Span:      newSpan(),
+		Customer:  customer.Name,
+		Rank:      customer.Rank,
+		Priority:  p.rule.Priority,
+		Remaining: p.rule.Timeout,
+		Retries:   p.rule.Retries,
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.rule.Timeout)
+	response, err := c.enterWithin(ctx, start, p, request)
+	return release(response, err, cancel)
+}
+
+// release calls cancel when the call is over: at once for an error or a bounded response, at the end of the body for
+// a streamed one.
+func release(response *hemlockcall.Response, err error, cancel context.CancelFunc) (*hemlockcall.Response, error) {
+	if err != nil || isBounded(response) {
+		cancel()
+		return response, err
+	}
+	response.Body = observe(response.Body, func(bool) { cancel() })
+	return response, nil
+}
+
+func (c *Calls) enterWithin(
+	ctx context.Context, start time.Time, p plan, request *hemlockcall.Request,
+) (*hemlockcall.Response, error) {
+	body, err := readBody(request.Body, request.Length, p.rule.MaxBody, c.budget)
+	if err != nil {
+		return nil, err
+	}
+	request.Fingerprint = fingerprint(request, body.prefix)
+	customer := request.Context.Customer
+	if !c.repeats.Allow(start, customer, request.Fingerprint) {
+		body.close()
+		c.metrics.repeats.Inc(1)
+		return nil, hemlockcall.Refuse(hemlockcall.ReasonRepeats, "this request was repeated too often").
+			WithRetryAfter(c.repeats.RetryAfter(start, customer, request.Fingerprint))
+	}
+	response, err := c.invoke(ctx, p, request, body)
+	c.recordRepeat(customer, request.Fingerprint, err)
+	return response, err
+}
+
+func (c *Calls) recordRepeat(customer string, print uint64, err error) {
+	if err == nil {
+		c.repeats.Succeeded(customer, print)
+		return
+	}
+	now := time.Now()
+	refusal := hemlockcall.AsRefusal(err)
+	if refusal.Verdict == hemlockcall.NotRun && refusal.RetryAfter > 0 {
+		c.repeats.Refused(now, customer, print, refusal.RetryAfter)
+		return
+	}
+	c.repeats.Failed(now, customer, print)
+}
+
+// invoke carries out a prepared call and gives the memory of its body back.
+func (c *Calls) invoke(
+	ctx context.Context, p plan, request *hemlockcall.Request, body *requestBody,
+) (*hemlockcall.Response, error) {
+	request.Context = request.Context.WithRemaining(remainingOf(ctx, request.Context.Remaining))
+	invoke := c.dispatcher.Invoke
+	if p.rule.Once {
+		invoke = func(ctx context.Context, r *hemlockcall.Request, b *requestBody) (*hemlockcall.Response, error) {
+			return c.invokeOnce(ctx, p, r, b)
+		}
+	}
+	response, err := invoke(ctx, request, body)
+	if err != nil || isBounded(response) {
+		body.close()
+		return response, err
+	}
+	response.Body = observe(response.Body, func(bool) { body.close() })
+	return response, nil
+}
+
+func remainingOf(ctx context.Context, most time.Duration) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(most, time.Until(deadline))
+	}
+	return most
+}
+
+// Outgoing serves a call that the local target makes. It continues the customer request that the target runs.
+func (c *Calls) Outgoing(ctx context.Context, outgoing *hemlocktarget.Outgoing) (*hemlockcall.Response, error) {
+	start := time.Now()
+	request := &hemlockcall.Request{
+		Service: outgoing.Service,
+		Method:  outgoing.Method,
+		Path:    outgoing.Path,
+		Header:  outgoing.Header,
+		Body:    outgoing.Body,
+		Length:  outgoing.Length,
+	}
+	response, err := c.nested(ctx, start, outgoing, request)
+	c.metrics.countCall(stageOutgoing, request.Context.Priority, err, time.Since(start))
+	return response, err
+}
+
+func (c *Calls) nested(
+	ctx context.Context, start time.Time, outgoing *hemlocktarget.Outgoing, request *hemlockcall.Request,
+) (*hemlockcall.Response, error) {
+	p, err := planRequest(c.configuration, request)
+	if err != nil {
+		return nil, err
+	}
+	parent, known := c.running.Find(outgoing.Trace, outgoing.Span)
+	if !known {
+		c.metrics.orphans.Inc(1)
+		request.Context = orphanContext(p)
+		return c.invokeWithin(ctx, p, request, nil)
+	}
+	nested, share, err := parent.Nested(start, newSpan())
+	if err != nil {
+		return nil, err
+	}
+	request.Context = nested.
+		WithPriority(nestedPriority(nested.Priority, p.rule.Class)).
+		WithRemaining(min(nested.Remaining, p.rule.Timeout))
+	return c.invokeWithin(ctx, p, request, share)
+}
+
+// orphanContext is the context of a call that belongs to no running request: the lowest priority and no retries.
+func orphanContext(p plan) hemlockcall.Context {
+	return hemlockcall.Context{
+		Trace:     newTrace(),
+		Span:      newSpan(),
+		Rank:      p.service.DefaultRank,
+		Priority:  hemlockcall.Sheddable,
+		Remaining: p.rule.Timeout,
+	}
+}
+
+// invokeWithin runs a nested call within its remaining time and returns the unused rest of its share.
+func (c *Calls) invokeWithin(
+	ctx context.Context, p plan, request *hemlockcall.Request, share *hemlockretry.Share,
+) (*hemlockcall.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Context.Remaining)
+	body, err := readBody(request.Body, request.Length, p.rule.MaxBody, c.budget)
+	if err != nil {
+		cancel()
+		settle(share, request.Context.Retries)
+		return nil, err
+	}
+	request.Fingerprint = fingerprint(request, body.prefix)
+	response, err := c.invoke(ctx, p, request, body)
+	if err != nil {
+		cancel()
+		settle(share, hemlockcall.AsRefusal(err).Feedback.Retries)
+		return nil, err
+	}
+	if isBounded(response) {
+		cancel()
+		settle(share, response.Feedback().Retries)
+		return response, nil
+	}
+	feedback := response.Feedback
+	response.Body = observe(response.Body, func(bool) {
+		cancel()
+		settle(share, feedback().Retries)
+	})
+	return response, nil
+}
+
+func settle(share *hemlockretry.Share, unused int) {
+	if share != nil {
+		share.Return(unused)
+	}
+}
+
+func newTrace() hemlockcall.TraceID {
+	var trace hemlockcall.TraceID
+	_, _ = rand.Read(trace[:])
+	return trace
+}
+
+func newSpan() hemlockcall.SpanID {
+	var span hemlockcall.SpanID
+	_, _ = rand.Read(span[:])
+	return span
+}
--- /dev/null
+++ b/hemlocknode/settings.go
@@ -0,0 +1,123 @@
+package hemlocknode
+
+import (
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hemlockhollow/hemlockerror"
+)
+
+// Settings are the process settings of a node. They are checked once at start and never change.
+type Settings struct {
+	// CallersAddress is where callers' HTTP requests arrive.
+	CallersAddress string
+	// TargetAddress is where the local target announces itself and sends its outgoing calls; loopback only.
+	TargetAddress string
+	// PeersAddress is where other nodes call; it is also the name of this node in the view, so its IP is concrete.
+	PeersAddress string
+	// OperatorsAddress is where metrics and the state dump are served.
+	OperatorsAddress string
+	// Zone is the availability zone of this host; never empty.
+	Zone string
+	// Region is the region of the availability zone; never empty.
+	Region string
+	// Platform is the base URL of the platform's table and object store; empty means that there is none.
+	Platform string
+	// Seeds are peers' addresses that are tried at start, besides those in the table.
+	Seeds []string
+	// LogLevel is one of LogLevels.
+	LogLevel string
+	// DrainGrace is how long a stopping node still accepts callers' requests, so that callers learn of the stop.
+	DrainGrace time.Duration
+	// StopTimeout bounds the graceful shutdown; it is longer than DrainGrace.
+	StopTimeout time.Duration
+	// BufferMemory bounds the bytes of request and response bodies held at once.
+	BufferMemory int64
+}
+
+// LogLevels are the accepted values of Settings.LogLevel.
+var LogLevels = []string{"error", "info", "debug"}
+
+// DefaultSettings returns the settings used where neither a flag nor an environment variable says otherwise.
+func DefaultSettings() Settings {
+	return Settings{
+		CallersAddress:   "127.0.0.1:7000",
+		TargetAddress:    "127.0.0.1:7001",
+		PeersAddress:     "127.0.0.1:7002",
+		OperatorsAddress: "127.0.0.1:7003",
+		Region:           "region-1",
+		LogLevel:         "info",
+		DrainGrace:       2 * time.Second,
+		StopTimeout:      60 * time.Second,
+		BufferMemory:     64 << 20,
+	}
+}
+
+// Validate reports the first setting that cannot be used, naming flag, value and what is allowed.
+func (s Settings) Validate() error {
+	addresses := []struct{ flag, value string }{
+		{"callers-address", s.CallersAddress},
+		{"target-address", s.TargetAddress},
+		{"peers-address", s.PeersAddress},
+		{"operators-address", s.OperatorsAddress},
+	}
+	seen := map[string]string{}
+	for _, a := range addresses {
+		parsed, err := netip.ParseAddrPort(a.value)
+		if err != nil || parsed.Port() == 0 {
+			return settingError(a.flag, a.value, "IP:PORT with a port from 1 to 65535")
+		}
+		if other, taken := seen[a.value]; taken {
+			return settingError(a.flag, a.value, "an address that --"+other+" does not use")
+		}
+		seen[a.value] = a.flag
+	}
+	if netip.MustParseAddrPort(s.PeersAddress).Addr().IsUnspecified() {
+		return settingError("peers-address", s.PeersAddress, "an IP that other hosts can reach, not the unspecified address")
+	}
+	if !netip.MustParseAddrPort(s.TargetAddress).Addr().IsLoopback() {
+		return settingError("target-address", s.TargetAddress, "a loopback address, because its callers are trusted")
+	}
+	return s.validateRest()
+}
+
+func (s Settings) validateRest() error {
+	if !isName(s.Zone) {
+		return settingError("zone", s.Zone, "the availability zone, 1 to 63 of a-z, 0-9 and -")
+	}
+	if !isName(s.Region) {
+		return settingError("region", s.Region, "the region, 1 to 63 of a-z, 0-9 and -")
+	}
+	for _, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return settingError("seeds", seed, "IP:PORT,IP:PORT,...")
+		}
+	}
+	if s.Platform != "" {
+		parsed, err := url.Parse(s.Platform)
+		if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
+			return settingError("platform", s.Platform, "a URL such as http://IP:PORT")
+		}
+	}
+	if !contains(LogLevels, s.LogLevel) {
+		return settingError("log-level", s.LogLevel, strings.Join(LogLevels, ", "))
+	}
+	if s.DrainGrace < 0 || s.DrainGrace > time.Minute {
+		return settingError("drain-grace", s.DrainGrace.String(), "0s to 1m")
+	}
+	if s.StopTimeout <= s.DrainGrace {
+		return settingError("stop-timeout", s.StopTimeout.String(), "more than --drain-grace ("+s.DrainGrace.String()+")")
+	}
+	if s.BufferMemory < 1<<20 || s.BufferMemory > 4<<30 {
+		return settingError("buffer-memory", formatBytes(s.BufferMemory), "1 MiB to 4 GiB, in bytes")
+	}
+	return nil
+}
+
+func settingError(flag, value, allowed string) error {
+	return hemlockerror.Wrap("read settings", KindSetting, errors.Errorf("--%s %q: allowed is %s", flag, value, allowed))
+}
