--- /dev/null
+++ b/hemlockconfiguration/error.go
@@ -0,0 +1,31 @@
+package hemlockconfiguration
+
+import (
+	"hemlockhollow/hemlockerror"
+)
+
+// Kind says what kind of error an operation of this package ended in.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindInvalid is a faulty file or option. Nothing was published; the cause may be hemlockservice.Problems.
+	KindInvalid Kind = "invalid"
+	// KindConflict is a service that another publish changed after the base version. Nothing was published.
+	KindConflict Kind = "conflict"
+	// KindContended is a publish that lost too many races against publishes of other services. Nothing was published.
+	KindContended Kind = "contended"
+	// KindUnavailable is a store that does not answer. Nothing was published.
+	KindUnavailable Kind = "unavailable"
+	// KindUnknown is a store that stopped answering after the write was sent: it may or may not take effect.
+	KindUnknown Kind = "outcome-unknown"
+	// KindCorrupt is an encoded configuration that is damaged, too large or of an unknown format.
+	KindCorrupt Kind = "corrupt"
+	// KindStale is returned by HeadStore.SwapHead when the head row no longer has the given version.
+	KindStale Kind = "stale"
+	// KindMissing is returned by HeadStore.GetObject for an object that does not exist.
+	KindMissing Kind = "missing"
+)
+
+// Error is the error type of this package.
+type Error = hemlockerror.Error[Kind]
