--- /dev/null
+++ b/hemlockrouting/choice.go
@@ -0,0 +1,121 @@
+package hemlockrouting
+
+import (
+	"slices"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+// The methods of this file are called with the lock held.
+
+// choose picks in this order: a bad target whose probe is due, the own zone, other zones, bad targets.
+func (t *Table) choose(now time.Time, g *group, p hemlockcall.Priority, tried []string) (*entry, Kind) {
+	if e := t.dueProbe(now, g, p, tried); e != nil {
+		return e, ""
+	}
+	// When the own zone has fewer slots than its share of the load, the rest goes to the others from the start.
+	local := g.shortfall == 0 || float64(t.random(1000)) >= g.shortfall*1000
+	if local {
+		if e := t.better(now, g.own, p, tried, true); e != nil {
+			return e, ""
+		}
+	}
+	if !local || p > hemlockcall.Sheddable || t.mayOverflow(now, g, tried) {
+		if e := t.better(now, g.other, p, tried, true); e != nil {
+			return e, ""
+		}
+	}
+	if !local {
+		if e := t.better(now, g.own, p, tried, true); e != nil {
+			return e, ""
+		}
+	}
+	// No healthy target admits the call. A bad one is better than none; one that sheds the priority is not.
+	if e := t.better(now, g.own, p, tried, false); e != nil {
+		return e, ""
+	}
+	if e := t.better(now, g.other, p, tried, false); e != nil && p > hemlockcall.Sheddable {
+		return e, ""
+	}
+	return nil, t.whyNone(g, tried)
+}
+
+// mayOverflow spends the bounded share of sheddable calls that may leave a full zone. A zone without ready targets
+// has no such bound: its load is an equal share that the others carry.
+func (t *Table) mayOverflow(_ time.Time, g *group, tried []string) bool {
+	if !slices.ContainsFunc(g.own, func(e *entry) bool { return e.eligible(tried) }) && len(tried) == 0 {
+		return true
+	}
+	g.credit = min(g.credit+t.settings.overflowShare, 1+t.settings.overflowShare)
+	if g.credit < 1 {
+		return false
+	}
+	g.credit--
+	return true
+}
+
+func (t *Table) whyNone(g *group, tried []string) Kind {
+	for _, entries := range [][]*entry{g.own, g.other} {
+		if slices.ContainsFunc(entries, func(e *entry) bool { return e.eligible(tried) }) {
+			return KindShed
+		}
+	}
+	return KindNone
+}
+
+func (e *entry) eligible(tried []string) bool {
+	return e.target.Ready && !e.leaving && !slices.Contains(tried, e.target.Address)
+}
+
+func (t *Table) usable(now time.Time, e *entry, p hemlockcall.Priority, tried []string, healthy bool) bool {
+	if healthy && e.bad || !e.eligible(tried) {
+		return false
+	}
+	return t.settings.off[EarlyShedding] || e.admits(now, p, t.settings.levelAge)
+}
+
+// draws is how often a random draw may hit a target that cannot be used before all are looked at.
+const draws = 4
+
+// better returns the less loaded of two random usable targets, or nil when there is none.
+func (t *Table) better(now time.Time, entries []*entry, p hemlockcall.Priority, tried []string, healthy bool) *entry {
+	if len(entries) == 0 {
+		return nil
+	}
+	var first, second *entry
+	for i := 0; i < draws && second == nil; i++ {
+		e := entries[t.random(len(entries))]
+		switch {
+		case e == first || !t.usable(now, e, p, tried, healthy):
+		case first == nil:
+			first = e
+		default:
+			second = e
+		}
+	}
+	if second == nil {
+		first, second = t.scan(now, entries, p, tried, healthy)
+	}
+	if second == nil || first.load(now, t.settings.reportAge) <= second.load(now, t.settings.reportAge) {
+		return first
+	}
+	return second
+}
+
+// scan returns the first two usable targets from a random start.
+func (t *Table) scan(now time.Time, entries []*entry, p hemlockcall.Priority, tried []string, healthy bool) (first,
+	second *entry) {
+	start := t.random(len(entries))
+	for i := range entries {
+		e := entries[(start+i)%len(entries)]
+		if !t.usable(now, e, p, tried, healthy) {
+			continue
+		}
+		if first != nil {
+			return first, e
+		}
+		first = e
+	}
+	return first, nil
+}
--- /dev/null
+++ b/hemlockrouting/table.go
@@ -0,0 +1,155 @@
+package hemlockrouting
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+// Table holds the targets of all services as one node sees them. It is safe for concurrent use.
+type Table struct {
+	zone     string
+	random   func(n int) int
+	settings settings
+
+	mutex    sync.Mutex
+	entries  map[string]*entry // by address
+	services map[string]*group
+}
+
+// group holds the targets of one service. Its order is by address, so that equal inputs give equal picks.
+type group struct {
+	own   []*entry
+	other []*entry
+	// shortfall is the part of calls that the own zone has too few slots for, if all zones get equal load.
+	shortfall float64
+	// credit collects overflow shares of sheddable calls; one call may leave the zone for each whole unit.
+	credit float64
+	median time.Duration // median latency of the targets
+	judged time.Time     // when the median was last computed
+	bad    int           // number of bad targets
+}
+
+// New returns an empty table for a node in the given zone. Random returns a number in [0,n).
+func New(zone string, random func(n int) int, options ...Option) *Table {
+	t := &Table{zone: zone, random: random, settings: defaults(), entries: map[string]*entry{},
+		services: map[string]*group{}}
+	for _, apply := range options {
+		apply(&t.settings)
+	}
+	return t
+}
+
+// Replace takes in a new list of targets. The state of targets that stay is kept; a target that was not ready and is
+// ready now starts afresh, because it is another process.
+func (t *Table) Replace(_ time.Time, targets []Target) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	entries := make(map[string]*entry, len(targets))
+	for _, target := range targets {
+		e := t.entries[target.Address]
+		if e == nil || target.Ready && !e.target.Ready || e.target.Service != target.Service {
+			fresh := &entry{}
+			if e != nil {
+				fresh.inFlight = e.inFlight
+			}
+			e = fresh
+		}
+		e.target = target
+		entries[target.Address] = e
+	}
+	t.entries = entries
+	t.regroup()
+}
+
+func (t *Table) regroup() {
+	old := t.services
+	t.services = map[string]*group{}
+	for _, e := range t.entries {
+		g := t.services[e.target.Service]
+		if g == nil {
+			g = &group{}
+			if previous := old[e.target.Service]; previous != nil {
+				g.credit, g.median, g.judged = previous.credit, previous.median, previous.judged
+			}
+			t.services[e.target.Service] = g
+		}
+		if e.bad {
+			g.bad++
+		}
+		if e.target.Zone == t.zone {
+			g.own = append(g.own, e)
+		} else {
+			g.other = append(g.other, e)
+		}
+	}
+	for _, g := range t.services {
+		byAddress(g.own)
+		byAddress(g.other)
+		g.weigh()
+	}
+}
+
+func byAddress(entries []*entry) {
+	sort.Slice(entries, func(i, j int) bool { return entries[i].target.Address < entries[j].target.Address })
+}
+
+// weigh computes the shortfall of the own zone against an equal share of the slots.
+func (g *group) weigh() {
+	zones := map[string]bool{}
+	own, all := 0, 0
+	for _, e := range g.own {
+		if e.target.Ready {
+			own += e.target.Slots
+		}
+	}
+	all = own
+	for _, e := range g.other {
+		if e.target.Ready {
+			all += e.target.Slots
+			zones[e.target.Zone] = true
+		}
+	}
+	g.shortfall = 0
+	if all > 0 {
+		g.shortfall = max(0, 1-float64(own)*float64(len(zones)+1)/float64(all))
+	}
+}
+
+// Done takes in the end of a picked call.
+func (t *Table) Done(now time.Time, address string, r Result) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.entries[address]
+	if e == nil {
+		return
+	}
+	e.inFlight = max(0, e.inFlight-1)
+	if r.Feedback.Limit > 0 {
+		e.reported, e.reportedAt = r.Feedback, now
+	}
+	if r.Outcome == Leaving {
+		e.leaving = true
+	}
+	if !t.settings.off[Outliers] {
+		t.judge(now, t.services[e.target.Service], e, r)
+	}
+}
+
+// Pick chooses a target that is not among the tried ones and counts the call as in flight until Done.
+func (t *Table) Pick(now time.Time, service string, p hemlockcall.Priority, tried []string) (Target, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	g := t.services[service]
+	if g == nil {
+		return Target{}, &Error{Operation: "pick target", Kind: KindNone}
+	}
+	e, kind := t.choose(now, g, p, tried)
+	if e == nil {
+		return Target{}, &Error{Operation: "pick target", Kind: kind}
+	}
+	e.inFlight++
+	return e.target, nil
+}
--- /dev/null
+++ b/hemlockrouting/table_test.go
@@ -0,0 +1,24 @@
+package hemlockrouting
+
+import (
+	"testing"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockerror"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against a call that is sent to a target again after it failed there.
+func TestPickPassesOverTriedTargets(t *testing.T) {
+	table := New("a", func(int) int { return 0 })
+	table.Replace(start, []Target{{Address: "1", Zone: "a", Service: "s", Slots: 5, Ready: true}})
+	if _, err := table.Pick(start, "s", hemlockcall.Critical, nil); err != nil {
+		t.Fatal(err)
+	}
+	_, err := table.Pick(start, "s", hemlockcall.Critical, []string{"1"})
+	if hemlockerror.KindOf[Kind](err) != KindNone {
+		t.Errorf("got %v, want no target", err)
+	}
+}
