Add retry, trace, suspect and member packages

Change: hemlockretry with Ledger, Share and RepeatBudget; hemlocktrace with the table of running requests; hemlocksuspect with crash records of the zone; hemlockmember with records, view, rendezvous ranking and a gossip engine that returns the messages to send.

Ruled out: Return(n) on the ledger itself. A repeated answer would take back what another call still has outstanding; a handle for each share cannot.

Conclusion: the interfaces can be wired.

--- /dev/null
+++ b/hemlockmember/message.go
@@ -0,0 +1,101 @@
+package hemlockmember
+
+import (
+	"math/bits"
+
+	"hemlockhollow/hemlocksuspect"
+)
+
+// Kind says what a message is for.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	// Probe asks the receiver to answer with Ack. Digests holds the digest of the suspects and that of the whole view.
+	Probe Kind = iota
+	// Ack answers a Probe. If the views differ, Digests holds the digest of the suspects and those of all buckets.
+	Ack
+	// Ask asks the receiver to probe Subject.
+	Ask
+	// Answer says whether Subject answered a probe of the sender.
+	Answer
+	// News passes on changed members and suspects.
+	News
+	// Records settles a difference: Members are the sender's records, Buckets those that the receiver shall complete.
+	Records
+)
+
+// Message is one gossip message.
+type Message struct {
+	From, To string
+	Kind     Kind
+	// Digests depend on the kind; empty when the views agree.
+	Digests []uint64
+	// ConfigurationVersion is the version in force at the sender.
+	ConfigurationVersion uint64
+	Members              []Member
+	Suspects             []hemlocksuspect.Record
+	Subject              string
+	Buckets              []uint32
+	Alive                bool
+}
+
+// Overhead is the estimated cost of a message beyond its encoded size: about 45 bytes of drpc frames (method name, open
+// and close) and one TCP/IP header of 52 bytes.
+const Overhead = 100
+
+// Size estimates the bytes of a message on the wire from the protobuf encoding of Gossip in node.proto: one byte of tag
+// for each field, one of length for each string, varints, and 8 bytes for a fixed64.
+func (m *Message) Size() int {
+	size := Overhead + textSize(m.From) + varintField(uint64(m.Kind)) + varintField(m.ConfigurationVersion) + textSize(m.Subject)
+	if len(m.Digests) > 0 {
+		size += 3
+		for _, d := range m.Digests {
+			size += varintSize(d)
+		}
+	}
+	if len(m.Buckets) > 0 {
+		size += 2
+		for _, b := range m.Buckets {
+			size += varintSize(uint64(b))
+		}
+	}
+	for i := range m.Members {
+		size += memberSize(&m.Members[i])
+	}
+	for _, s := range m.Suspects {
+		size += suspectSize(s)
+	}
+	if m.Alive {
+		size += 2
+	}
+	return size
+}
+
+func memberSize(m *Member) int {
+	return 2 + textSize(m.Address) + textSize(m.Zone) + textSize(m.Region) + textSize(m.Service) +
+		varintField(m.Incarnation) + varintField(uint64(m.State)) + varintField(uint64(m.Slots))
+}
+
+func suspectSize(s hemlocksuspect.Record) int {
+	return 2 + 9 + 2 + varintField(uint64(s.Age.Milliseconds())) + textSize(s.Origin) + varintField(s.Crash)
+}
+
+func textSize(s string) int {
+	if s == "" {
+		return 0
+	}
+	return 2 + len(s)
+}
+
+// varintField is zero for the zero value, which proto3 does not send.
+func varintField(x uint64) int {
+	if x == 0 {
+		return 0
+	}
+	return 1 + varintSize(x)
+}
+
+func varintSize(x uint64) int {
+	return (bits.Len64(x|1) + 6) / 7
+}
--- /dev/null
+++ b/hemlockmember/receive.go
@@ -0,0 +1,173 @@
+package hemlockmember
+
+import "time"
+
+// Receive takes a message of a peer and returns the messages to send; one for the sender may go as the reply.
+func (g *Gossip) Receive(now time.Time, from string, m Message) []Message {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if from == "" || from == g.self.Address {
+		return nil
+	}
+	g.budget.fill(now)
+	g.heard[from] = now
+	if w := g.watches[from]; w != nil {
+		w.denied, w.checked = false, false
+		g.settle(from, w, true)
+	}
+	delete(g.claims, from)
+	g.absorb(now, from, m.Kind == News && g.inOwnZone(from), m.Members)
+	g.absorbSuspects(now, from, m)
+	switch m.Kind {
+	case Probe:
+		g.inbound[from] = now
+		g.acknowledge(now, from, m)
+	case Ack:
+		g.compare(now, from, m)
+	case Ask:
+		g.assist(now, from, m.Subject)
+	case Answer:
+		g.hearsay(now, m.Subject, m.Alive)
+	case Records:
+		g.complete(now, from, m)
+	case News:
+	}
+	g.flush(now)
+	return g.take()
+}
+
+// absorb merges records of a peer. Only news from the own zone is believed about a death at once; see doubt.
+func (g *Gossip) absorb(now time.Time, from string, trusted bool, records []Member) {
+	for _, m := range records {
+		if !m.valid() {
+			continue
+		}
+		if m.Address == g.self.Address {
+			g.refute(now, from, m)
+			continue
+		}
+		if m.State == Dead && g.doubt(now, m, trusted) {
+			continue
+		}
+		g.apply(now, m, from)
+	}
+}
+
+// refute answers a foreign record about this node itself with a higher incarnation.
+func (g *Gossip) refute(now time.Time, from string, m Member) {
+	if m.Incarnation < g.self.Incarnation {
+		if m.State == Dead {
+			g.send(Message{To: from, Kind: News, Members: []Member{g.self}})
+		}
+		return
+	}
+	if !newer(m, g.self) {
+		return
+	}
+	g.counts.Refuted++
+	g.raise(now, m.Incarnation)
+	g.send(Message{To: from, Kind: News, Members: []Member{g.self}})
+}
+
+// doubt reports whether a claimed death is not believed yet. A claim is checked by a probe of this node's own if the
+// member was heard just now, or unless it is fresh news from the own zone. After a partition, both sides hold the other
+// side's members for dead; without this check, a member of one zone would believe the other zone's claims about its
+// own neighbours until all of them had refuted.
+func (g *Gossip) doubt(now time.Time, m Member, trusted bool) bool {
+	known, ok := g.view.Get(m.Address)
+	if !ok || known.State == Dead || !newer(m, known) {
+		return false
+	}
+	at, heard := g.heard[m.Address]
+	if trusted && (!heard || now.Sub(at) > freshness) {
+		delete(g.claims, m.Address)
+		return false
+	}
+	g.claims[m.Address] = m.brief()
+	return true
+}
+
+// apply merges a believed record and passes it on if it is new here.
+func (g *Gossip) apply(now time.Time, m Member, from string) {
+	before, known := g.view.Get(m.Address)
+	changes := g.view.Merge(now, []Member{m})
+	if len(changes) == 0 {
+		if known && !newer(before, m) {
+			g.knows(m, from)
+		}
+		return
+	}
+	g.lastChange = now
+	changed := changes[0]
+	if changed.State == Dead {
+		if w := g.watches[m.Address]; w != nil {
+			g.settle(m.Address, w, false)
+			delete(g.watches, m.Address)
+		}
+		if known && before.State != Dead && before.State != Leaving {
+			g.noteDeath(now, changed.Zone)
+		}
+	}
+	delete(g.claims, m.Address)
+	g.spread(now, changed, from)
+}
+
+// acknowledge answers a probe. A sender that is held for dead here gets that record, so that it refutes it.
+func (g *Gossip) acknowledge(now time.Time, from string, m Message) {
+	ack := Message{To: from, Kind: Ack}
+	if sender, ok := g.view.Get(from); ok && sender.State == Dead {
+		ack.Members = []Member{sender.brief()}
+	}
+	if len(m.Digests) == 2 && g.budget.has(lowPriority) {
+		suspects := g.suspectDigest(now)
+		if m.Digests[0] != suspects && g.inOwnZone(from) {
+			ack.Digests = []uint64{suspects}
+			ack.Suspects = g.suspects.Records(now, suspectsPerMessage)
+		}
+		if m.Digests[1] != g.view.sum() && g.settled(now) {
+			ack.Digests = append([]uint64{suspects}, g.view.Digest()...)
+		}
+	}
+	g.send(ack)
+}
+
+// assist probes a member for another node and answers later, or at once when the member was heard just now.
+func (g *Gossip) assist(now time.Time, from, subject string) {
+	if subject == g.self.Address {
+		g.send(Message{To: from, Kind: Answer, Subject: subject, Alive: true})
+		return
+	}
+	m, known := g.view.Get(subject)
+	if !known || m.State == Dead {
+		// The asker learns the death from the digest exchange; this node does not probe on its behalf.
+		g.send(Message{To: from, Kind: Answer, Subject: subject})
+		return
+	}
+	if at, ok := g.heard[subject]; ok && now.Sub(at) <= probeInterval {
+		g.send(Message{To: from, Kind: Answer, Subject: subject, Alive: true})
+		return
+	}
+	w := g.watch(now, subject)
+	if len(w.askers) == 0 {
+		w.askedAt = now
+	}
+	if len(w.askers) < 8 {
+		w.askers = append(w.askers, from)
+	}
+	w.lastProbe = now
+	g.sendProbe(subject)
+}
+
+// hearsay takes the word of a second prober.
+func (g *Gossip) hearsay(now time.Time, subject string, alive bool) {
+	w := g.watches[subject]
+	if w == nil {
+		return
+	}
+	if alive {
+		w.restart(now)
+		delete(g.claims, subject)
+		return
+	}
+	w.denied = true
+}
--- /dev/null
+++ b/hemlockretry/ledger.go
@@ -0,0 +1,101 @@
+// Package hemlockretry bounds extra attempts: the retry allowance of one customer request along its call tree, and
+// the repeats that a customer's callers send to an entry node. It does no I/O.
+package hemlockretry
+
+import "sync"
+
+// Ledger is the retry allowance of one request on one node. The entry node mints the allowance of a customer request;
+// every other node opens its ledger with the share that the call brought. It is safe for concurrent use.
+type Ledger struct {
+	mutex sync.Mutex
+	// remaining is never negative. It grows only by what an outstanding Share gives back.
+	remaining int
+	closed    bool
+}
+
+// NewLedger returns a ledger with an allowance of n extra attempts; a negative n counts as zero.
+func NewLedger(n int) *Ledger {
+	return &Ledger{remaining: max(n, 0)}
+}
+
+// Spend takes the allowance for one extra attempt and reports whether there was any.
+func (l *Ledger) Spend() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.remaining == 0 {
+		return false
+	}
+	l.remaining--
+	return true
+}
+
+// Remaining returns the allowance that is neither spent nor shared.
+func (l *Ledger) Remaining() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.remaining
+}
+
+// Share takes up to want from the allowance for an outgoing call. The call carries Size extra attempts.
+func (l *Ledger) Share(want int) *Share {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.take(want)
+}
+
+// ShareHalf takes half of the allowance, rounded down, for an outgoing call. The calling node keeps the larger half
+// because it alone can repeat a call whose answer was lost: the share of a lost answer is forfeited.
+func (l *Ledger) ShareHalf() *Share {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.take(l.remaining / 2)
+}
+
+func (l *Ledger) take(want int) *Share {
+	size := min(max(want, 0), l.remaining)
+	l.remaining -= size
+	return &Share{ledger: l, size: size}
+}
+
+// Close ends the ledger and returns the unused rest, which the node reports to its caller. After that nothing can be
+// spent, shared or returned here: the caller may use the rest as soon as it has the report.
+func (l *Ledger) Close() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	rest := l.remaining
+	l.remaining, l.closed = 0, true
+	return rest
+}
+
+// Share is the part of a ledger that one outgoing call carries.
+type Share struct {
+	ledger *Ledger
+	size   int
+	// settled is guarded by the mutex of the ledger. It is set by the first Return.
+	settled bool
+}
+
+// Size returns the number of extra attempts that the call carries.
+func (s *Share) Size() int {
+	return s.size
+}
+
+// Return gives back the unused rest that the called node reported, at most the size of the share. Only the first
+// Return counts, so an answer that arrives twice adds nothing. A share that is never returned is forfeited.
+func (s *Share) Return(unused int) {
+	s.ledger.mutex.Lock()
+	defer s.ledger.mutex.Unlock()
+	if s.settled {
+		return
+	}
+	s.settled = true
+	if !s.ledger.closed {
+		s.ledger.remaining += min(max(unused, 0), s.size)
+	}
+}
+
+// Forfeit settles the share without giving anything back, for a call whose answer was lost. A late answer that calls
+// Return afterwards adds nothing.
+func (s *Share) Forfeit() {
+	s.Return(0)
+}
--- /dev/null
+++ b/hemlockretry/repeat.go
@@ -0,0 +1,172 @@
+package hemlockretry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// defaultFailures bounds the remembered failed requests. At the target size a node gets about 390 calls/s, so 30 s
+	// of failures alone are 11,700 entries.
+	defaultFailures = 16384
+	// defaultCustomers bounds the remembered customers. A forgotten customer starts with a full bucket.
+	defaultCustomers = 1024
+	defaultRate      = 1.0
+	defaultBurst     = 10
+	defaultExpiry    = 30 * time.Second
+	// longestWait bounds the Retry-After of a refused repeat. A repeat beyond it gets no reservation.
+	longestWait = 30 * time.Second
+)
+
+// RepeatBudget bounds how often the callers of each customer may send a failed request again at this entry node. The
+// first sending of a request is always allowed; a repeat takes a token of its customer. It is safe for concurrent use.
+type RepeatBudget struct {
+	mutex     sync.Mutex
+	rate      rate.Limit
+	burst     int
+	expiry    time.Duration
+	failures  *simplelru.LRU[failureKey, failure]
+	customers *simplelru.LRU[string, *rate.Limiter]
+}
+
+type failureKey struct {
+	customer    string
+	fingerprint uint64
+}
+
+// failure is a request that failed at this entry node.
+type failure struct {
+	expires time.Time
+	// free is the time from which one repeat costs no token; zero when every repeat costs one.
+	free time.Time
+	// reserved marks that a token for the repeat at free has been taken already.
+	reserved bool
+}
+
+// RepeatOption changes a RepeatBudget.
+type RepeatOption func(*RepeatBudget)
+
+// WithRepeatRate sets the repeats per second and the burst of each customer.
+func WithRepeatRate(perSecond float64, burst int) RepeatOption {
+	return func(b *RepeatBudget) { b.rate, b.burst = rate.Limit(perSecond), burst }
+}
+
+// WithRepeatExpiry sets for how long a failed request is remembered.
+func WithRepeatExpiry(expiry time.Duration) RepeatOption {
+	return func(b *RepeatBudget) { b.expiry = expiry }
+}
+
+// WithRepeatBounds sets how many customers and failed requests are remembered; both must be above zero. The least
+// recently used are forgotten first, and a repeat of a forgotten request counts as its first sending.
+func WithRepeatBounds(customers, failures int) RepeatOption {
+	return func(b *RepeatBudget) {
+		b.customers, b.failures = newLRU[string, *rate.Limiter](customers), newLRU[failureKey, failure](failures)
+	}
+}
+
+// NewRepeatBudget returns a budget of 1 repeat/s with a burst of 10 for each customer unless options say otherwise.
+func NewRepeatBudget(options ...RepeatOption) *RepeatBudget {
+	b := &RepeatBudget{rate: defaultRate, burst: defaultBurst, expiry: defaultExpiry}
+	WithRepeatBounds(defaultCustomers, defaultFailures)(b)
+	for _, option := range options {
+		option(b)
+	}
+	return b
+}
+
+func newLRU[K comparable, V any](size int) *simplelru.LRU[K, V] {
+	lru, err := simplelru.NewLRU[K, V](max(size, 1), nil)
+	if err != nil {
+		panic(err) // NewLRU fails only for a size below one
+	}
+	return lru
+}
+
+// Allow reports whether a request may run now. A refused one is refused as not run, with the wait of RetryAfter.
+func (b *RepeatBudget) Allow(now time.Time, customer string, fingerprint uint64) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	key := failureKey{customer, fingerprint}
+	f, ok := b.failures.Get(key)
+	if !ok || !now.Before(f.expires) {
+		b.failures.Remove(key)
+		return true
+	}
+	if !f.free.IsZero() && !now.Before(f.free) {
+		// The entry stays, so that a second repeat without another failure still costs a token.
+		f.free, f.reserved = time.Time{}, false
+		b.failures.Add(key, f)
+		return true
+	}
+	if f.reserved {
+		return false
+	}
+	return b.reserve(now, key, f)
+}
+
+// reserve takes a token now, or reserves one for later and records from when the repeat may run.
+func (b *RepeatBudget) reserve(now time.Time, key failureKey, f failure) bool {
+	reservation := b.limiter(key.customer).ReserveN(now, 1)
+	delay := reservation.DelayFrom(now)
+	switch {
+	case delay == 0 && reservation.OK():
+		return true
+	case !reservation.OK() || delay > longestWait:
+		reservation.CancelAt(now)
+		return false
+	}
+	f.free, f.reserved = now.Add(delay), true
+	// The record must outlive the wait that the caller was told.
+	f.expires = f.free.Add(b.expiry)
+	b.failures.Add(key, f)
+	return false
+}
+
+// RetryAfter returns how long the caller of a refused request should wait before it sends the request again.
+func (b *RepeatBudget) RetryAfter(now time.Time, customer string, fingerprint uint64) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	f, ok := b.failures.Peek(failureKey{customer, fingerprint})
+	switch {
+	case !ok || !now.Before(f.expires):
+		return 0
+	case f.free.IsZero():
+		return longestWait
+	}
+	return max(f.free.Sub(now), 0)
+}
+
+// Failed records that a request failed, so that sending it again costs a token.
+func (b *RepeatBudget) Failed(now time.Time, customer string, fingerprint uint64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.failures.Add(failureKey{customer, fingerprint}, failure{expires: now.Add(b.expiry)})
+}
+
+// Refused records that a request was refused as not run with advice to wait. One repeat after the wait costs no token;
+// a repeat before it does.
+func (b *RepeatBudget) Refused(now time.Time, customer string, fingerprint uint64, retryAfter time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	free := now.Add(max(retryAfter, 0))
+	b.failures.Add(failureKey{customer, fingerprint}, failure{expires: free.Add(b.expiry), free: free})
+}
+
+// Succeeded forgets the failures of a request, so that the same request later counts as new.
+func (b *RepeatBudget) Succeeded(customer string, fingerprint uint64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.failures.Remove(failureKey{customer, fingerprint})
+}
+
+func (b *RepeatBudget) limiter(customer string) *rate.Limiter {
+	limiter, ok := b.customers.Get(customer)
+	if !ok {
+		limiter = rate.NewLimiter(b.rate, b.burst)
+		b.customers.Add(customer, limiter)
+	}
+	return limiter
+}
--- /dev/null
+++ b/hemlocktrace/table.go
@@ -0,0 +1,179 @@
+// Package hemlocktrace holds the requests that run at the local target, so that a call that the target makes is
+// matched with the request that it serves. It does no I/O.
+package hemlocktrace
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockretry"
+)
+
+// defaultSize bounds the table. The slots of a target bound the requests that run at it; the largest declared number
+// is 190, and cancelled requests may stay a while after their slot was given up.
+const defaultSize = 4096
+
+// Running is one request that runs at the local target. Its fields never change.
+type Running struct {
+	// Context is the context that the call brought.
+	Context hemlockcall.Context
+	// Span is the span id that the target was given with the request.
+	Span hemlockcall.SpanID
+	// Deadline is the time after which nobody waits for the answer.
+	Deadline time.Time
+	// Started is the time of Begin.
+	Started time.Time
+	ledger  *hemlockretry.Ledger
+	cancel  context.CancelFunc
+}
+
+// Cancel ends the request and the calls below it. It may be called more than once.
+func (r *Running) Cancel() {
+	if r.cancel != nil {
+		r.cancel()
+	}
+}
+
+// Ledger returns the retry allowance of the request on this node.
+func (r *Running) Ledger() *hemlockretry.Ledger {
+	return r.ledger
+}
+
+// Nested returns the context of a call that the request makes, and the share of the retry allowance that it carries.
+// The remaining time is at most that of the request. The error is always a *hemlockcall.Refusal as not run: the time
+// is over or the chain is too deep.
+func (r *Running) Nested(now time.Time, span hemlockcall.SpanID) (hemlockcall.Context, *hemlockretry.Share, error) {
+	remaining := min(r.Deadline.Sub(now), r.Context.Remaining)
+	if remaining <= 0 {
+		return hemlockcall.Context{}, nil, hemlockcall.Refuse(hemlockcall.ReasonDeadline, "the calling request is past its deadline")
+	}
+	nested := r.Context.Nested()
+	if nested.Depth > hemlockcall.MaxDepth {
+		return hemlockcall.Context{}, nil, hemlockcall.Refuse(hemlockcall.ReasonInvalid, "the call chain is too deep")
+	}
+	share := r.ledger.ShareHalf()
+	return nested.WithSpan(span).WithRemaining(remaining).WithRetries(share.Size()), share, nil
+}
+
+type spanKey struct {
+	trace hemlockcall.TraceID
+	span  hemlockcall.SpanID
+}
+
+// Table holds the running requests by trace and span id. It is safe for concurrent use.
+type Table struct {
+	mutex  sync.Mutex
+	size   int
+	spans  map[spanKey]*Running
+	traces map[hemlockcall.TraceID][]*Running
+	counts Counts
+}
+
+// Counts are the counters of a table since its start.
+type Counts struct {
+	// Begun counts all requests.
+	Begun uint64
+	// Overflowed counts requests that were not entered because the table was full.
+	Overflowed uint64
+	// Exact and ByTrace count calls matched by both ids and by the trace id alone; Unknown counts unmatched calls.
+	Exact, ByTrace, Unknown uint64
+}
+
+// Option changes a Table.
+type Option func(*Table)
+
+// WithSize sets the largest number of running requests.
+func WithSize(size int) Option {
+	return func(t *Table) { t.size = size }
+}
+
+// New returns an empty table.
+func New(options ...Option) *Table {
+	t := &Table{size: defaultSize, spans: map[spanKey]*Running{}, traces: map[hemlockcall.TraceID][]*Running{}}
+	for _, option := range options {
+		option(t)
+	}
+	return t
+}
+
+// Begin enters a request that is about to be sent to the target with the given span id. When the table is full or the
+// same ids are running already, the request is not entered: it runs, but the calls that it makes are not matched.
+func (t *Table) Begin(now time.Time, c hemlockcall.Context, span hemlockcall.SpanID, ledger *hemlockretry.Ledger, cancel context.CancelFunc) *Running {
+	r := &Running{Context: c, Span: span, Deadline: now.Add(c.Remaining), Started: now, ledger: ledger, cancel: cancel}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.counts.Begun++
+	key := spanKey{c.Trace, span}
+	if _, taken := t.spans[key]; taken || len(t.spans) >= t.size {
+		t.counts.Overflowed++
+		return r
+	}
+	t.spans[key] = r
+	t.traces[c.Trace] = append(t.traces[c.Trace], r)
+	return r
+}
+
+// Find returns the request that made a call with these ids. A target may make span ids of its own; then the trace id
+// decides. If several requests of the trace run, the one with the earliest deadline is returned, so that the call
+// never gets more time than its true parent has.
+func (t *Table) Find(trace hemlockcall.TraceID, span hemlockcall.SpanID) (*Running, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if r, ok := t.spans[spanKey{trace, span}]; ok {
+		t.counts.Exact++
+		return r, true
+	}
+	var found *Running
+	for _, r := range t.traces[trace] {
+		if found == nil || r.Deadline.Before(found.Deadline) {
+			found = r
+		}
+	}
+	if found == nil {
+		t.counts.Unknown++
+		return nil, false
+	}
+	t.counts.ByTrace++
+	return found, true
+}
+
+// End removes a request, closes its ledger and returns the unused rest of its retry allowance. A second End returns 0.
+func (t *Table) End(r *Running) int {
+	t.remove(r)
+	return r.ledger.Close()
+}
+
+func (t *Table) remove(r *Running) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	key := spanKey{r.Context.Trace, r.Span}
+	if t.spans[key] != r {
+		return
+	}
+	delete(t.spans, key)
+	rest := t.traces[key.trace]
+	for i := range rest {
+		if rest[i] == r {
+			rest = append(rest[:i], rest[i+1:]...)
+			break
+		}
+	}
+	if len(rest) == 0 {
+		delete(t.traces, key.trace)
+		return
+	}
+	t.traces[key.trace] = rest
+}
+
+// Snapshot returns the running requests in no particular order, and the counters.
+func (t *Table) Snapshot() ([]*Running, Counts) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	running := make([]*Running, 0, len(t.spans))
+	for _, r := range t.spans {
+		running = append(running, r)
+	}
+	return running, t.counts
+}
