Add the platform client, its stand-in and the claim protocol

Cause: orders that may not be repeated need a claim that decides who runs them, on top of the platform's conditional writes.

The platform's reply statuses are mapped so that only a status of 400 to 499 counts as refused; every other unexpected status of a write is an unknown outcome.

Ruled out: returning row versions from Store.Write, because the message between nodes carries only whether a change was applied. Finish and Release read the row first instead, at the cost of one read.

Conclusion: a claim, its answer in the row and as an object, and a lost reply work against the stand-in.

--- /dev/null
+++ b/hemlockplatform/claims.go
@@ -0,0 +1,103 @@
+package hemlockplatform
+
+import (
+	"context"
+
+	"hemlockhollow/hemlockclaim"
+)
+
+// Claims gives hemlockclaim access to the table and the object store.
+type Claims struct {
+	client *Client
+}
+
+var (
+	_ hemlockclaim.Table   = Claims{}
+	_ hemlockclaim.Objects = Claims{}
+)
+
+// NewClaims returns the view of a client that claims use.
+func NewClaims(client *Client) Claims {
+	return Claims{client: client}
+}
+
+// Read implements hemlockclaim.Reader.
+func (c Claims) Read(ctx context.Context, key string) (hemlockclaim.Row, bool, error) {
+	row, err := c.client.Read(ctx, key)
+	if KindOf(err) == KindNotFound {
+		return hemlockclaim.Row{}, false, nil
+	}
+	if err != nil {
+		return hemlockclaim.Row{}, false, claimError("read", err)
+	}
+	decoded, err := hemlockclaim.DecodeRow(row.Value, row.Version)
+	if err != nil {
+		return hemlockclaim.Row{}, false, claimError("read", err)
+	}
+	return decoded, true, nil
+}
+
+// Transact implements hemlockclaim.Transactor.
+func (c Claims) Transact(ctx context.Context, changes []hemlockclaim.Change) ([]string, error) {
+	writes := make([]Write, len(changes))
+	for i, change := range changes {
+		writes[i] = Write{Key: change.Key, IfVersion: change.Version}
+		if !change.Delete {
+			writes[i].Value = hemlockclaim.EncodeRow(change.Row)
+		}
+	}
+	failed, err := c.client.Transact(ctx, writes)
+	if KindOf(err) == KindConflict && len(failed) > 0 {
+		return failed, nil
+	}
+	if err != nil {
+		return nil, claimError("write", err)
+	}
+	return nil, nil
+}
+
+// List implements hemlockclaim.Lister.
+func (c Claims) List(ctx context.Context, prefix, after string, limit int) ([]hemlockclaim.Entry, error) {
+	rows, err := c.client.List(ctx, prefix, after, limit)
+	if err != nil {
+		return nil, claimError("list", err)
+	}
+	entries := make([]hemlockclaim.Entry, len(rows))
+	for i, row := range rows {
+		decoded, err := hemlockclaim.DecodeRow(row.Value, row.Version)
+		if err != nil {
+			// Listings serve the sweep, which needs only the version; one bad row must not stop it.
+			decoded = hemlockclaim.Row{Version: row.Version}
+		}
+		entries[i] = hemlockclaim.Entry{Key: row.Key, Row: decoded}
+	}
+	return entries, nil
+}
+
+// PutObject implements hemlockclaim.Objects.
+func (c Claims) PutObject(ctx context.Context, name string, body []byte) error {
+	err := c.client.PutObject(ctx, name, body)
+	if err == nil || KindOf(err) == KindConflict {
+		return nil
+	}
+	return claimError("put object", err)
+}
+
+// GetObject implements hemlockclaim.Objects.
+func (c Claims) GetObject(ctx context.Context, name string) ([]byte, error) {
+	body, err := c.client.GetObject(ctx, name)
+	if err != nil {
+		return nil, claimError("get object", err)
+	}
+	return body, nil
+}
+
+// claimError keeps apart what certainly had no effect and what may have one.
+func claimError(operation string, err error) error {
+	kind := hemlockclaim.KindUnknown
+	switch KindOf(err) {
+	case KindNotApplied, KindUnavailable, KindInvalid, KindConflict, KindNotFound:
+		kind = hemlockclaim.KindUnavailable
+	}
+	return hemlockclaim.WrapError(operation, kind, err)
+}
--- /dev/null
+++ b/hemlockplatform/claims_test.go
@@ -0,0 +1,102 @@
+package hemlockplatform_test
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"hemlockhollow/hemlockclaim"
+	"hemlockhollow/hemlockplatform"
+	"hemlockhollow/standin/platform/store"
+)
+
+// platform is the stand-in in this process and a client for it.
+type platform struct {
+	store   *store.Store
+	handler *store.Handler
+	client  *hemlockplatform.Client
+	claims  hemlockplatform.Claims
+}
+
+func newPlatform(t *testing.T, options ...hemlockplatform.Option) *platform {
+	t.Helper()
+	p := &platform{store: store.New()}
+	p.handler = store.NewHandler(p.store, 0)
+	server := httptest.NewServer(p.handler)
+	t.Cleanup(server.Close)
+	p.client = hemlockplatform.New(server.Listener.Addr().String(), options...)
+	t.Cleanup(p.client.CloseIdle)
+	p.claims = hemlockplatform.NewClaims(p.client)
+	return p
+}
+
+func (p *platform) inject(t *testing.T, faults store.Faults) {
+	t.Helper()
+	if err := p.handler.SetFaults(faults); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (p *platform) claimer() *hemlockclaim.Claimer {
+	writer := hemlockclaim.NewBatcher(hemlockclaim.NewTransactionWriter(p.claims))
+	return hemlockclaim.New(hemlockclaim.NewStore(p.claims, writer), "orders", time.Hour,
+		hemlockclaim.WithObjects(p.claims))
+}
+
+func newKey(t *testing.T) string {
+	t.Helper()
+	id, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return id.String()
+}
+
+// Guards against an answer that changes on its way through the table or the object store.
+func TestClaimOverPlatform(t *testing.T) {
+	p := newPlatform(t)
+	claimer := p.claimer()
+	for name, size := range map[string]int{"in the row": 100, "as an object": 100_000} {
+		t.Run(name, func(t *testing.T) {
+			key := newKey(t)
+			claim, answer, err := claimer.Claim(t.Context(), key, "digest")
+			if err != nil || answer != nil {
+				t.Fatal(answer, err)
+			}
+			stored := hemlockclaim.Answer{Status: 201, Header: map[string][]string{"Location": {"/orders/7"}},
+				Body: bytes.Repeat([]byte("x"), size)}
+			if err := claimer.Finish(t.Context(), claim, stored); err != nil {
+				t.Fatal(err)
+			}
+			_, answer, err = claimer.Claim(t.Context(), key, "digest")
+			if err != nil || answer == nil {
+				t.Fatal(answer, err)
+			}
+			if answer.Status != 201 || answer.Header.Get("Location") != "/orders/7" || !bytes.Equal(answer.Body, stored.Body) {
+				t.Errorf("another answer came back: %d %v, %d bytes", answer.Status, answer.Header, len(answer.Body))
+			}
+		})
+	}
+}
+
+// Guards against a lost reply that either blocks the key or lets the request run in two attempts.
+func TestClaimAfterLostReply(t *testing.T) {
+	p := newPlatform(t)
+	claimer := p.claimer()
+	key := newKey(t)
+	p.inject(t, store.Faults{LoseRate: 1})
+	claim, _, err := claimer.Claim(t.Context(), key, "digest")
+	if err != nil {
+		t.Fatal("the read-back did not find the claim:", err)
+	}
+	_, _, err = claimer.Claim(t.Context(), key, "digest")
+	if kind := hemlockclaim.KindOf(err); kind != hemlockclaim.KindInProgress {
+		t.Errorf("the second attempt ended with %v", err)
+	}
+	if err := claimer.Finish(t.Context(), claim, hemlockclaim.Answer{Status: 200}); err != nil {
+		t.Error("the answer was not stored:", err)
+	}
+}
--- /dev/null
+++ b/hemlockplatform/snapshot.go
@@ -0,0 +1,51 @@
+package hemlockplatform
+
+import (
+	"sync/atomic"
+)
+
+// Snapshot is the state of a client for the state dump.
+type Snapshot struct {
+	// Breaker is closed, half-open or open.
+	Breaker string `json:"breaker"`
+	// InFlight is the number of calls that hold a place; never above the concurrency limit.
+	InFlight int64 `json:"in-flight"`
+	// Waiting is the number of calls that wait for a place.
+	Waiting int64 `json:"waiting"`
+	// Reads and Writes count the calls since the start, including failed ones.
+	Reads  uint64 `json:"reads"`
+	Writes uint64 `json:"writes"`
+	// NotApplied, Unknown and Unavailable count failed calls by kind.
+	NotApplied  uint64 `json:"not-applied"`
+	Unknown     uint64 `json:"outcome-unknown"`
+	Unavailable uint64 `json:"unavailable"`
+}
+
+type counters struct {
+	reads, writes, notApplied, unknown, unavailable atomic.Uint64
+}
+
+func (c *counters) count(writes bool, err error) {
+	if writes {
+		c.writes.Add(1)
+	} else {
+		c.reads.Add(1)
+	}
+	switch KindOf(err) {
+	case KindNotApplied:
+		c.notApplied.Add(1)
+	case KindUnknown:
+		c.unknown.Add(1)
+	case KindUnavailable:
+		c.unavailable.Add(1)
+	}
+}
+
+// Snapshot returns the state of the client.
+func (c *Client) Snapshot() Snapshot {
+	return Snapshot{
+		Breaker: c.breaker.State().String(), InFlight: c.inFlight.Load(), Waiting: c.waiting.Load(),
+		Reads: c.counts.reads.Load(), Writes: c.counts.writes.Load(), NotApplied: c.counts.notApplied.Load(),
+		Unknown: c.counts.unknown.Load(), Unavailable: c.counts.unavailable.Load(),
+	}
+}
--- /dev/null
+++ b/standin/platform/store/faults.go
@@ -0,0 +1,117 @@
+package store
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Duration is a time.Duration that is written like "150ms" in JSON.
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil || parsed < 0 {
+		return errors.Errorf("wrong duration %q", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Faults says what goes wrong. The rates are between 0 and 1; the zero value is a platform without faults.
+type Faults struct {
+	// Delay is added to every call.
+	Delay Duration `json:"delay"`
+	// FailRate is the share of calls that are refused with status 503 and without effect.
+	FailRate float64 `json:"fail-rate"`
+	// LoseRate is the share of writes whose reply is dropped after the write took effect.
+	LoseRate float64 `json:"lose-rate"`
+	// LateRate is the share of writes whose reply is dropped and that take effect only after LateBy.
+	LateRate float64 `json:"late-rate"`
+	// LateBy is the delay of a late write.
+	LateBy Duration `json:"late-by"`
+	// CutOff is "hang" or "refuse": calls hang or their connections are closed. Empty means no cut-off.
+	CutOff string `json:"cut-off"`
+	// CutOffFor ends the cut-off after this time; 0 means until the faults are set again.
+	CutOffFor Duration `json:"cut-off-for"`
+	// Seed makes the drawn faults repeatable for a sequential caller.
+	Seed uint64 `json:"seed"`
+}
+
+func (f Faults) check() error {
+	for _, rate := range []float64{f.FailRate, f.LoseRate, f.LateRate} {
+		if rate < 0 || rate > 1 {
+			return errors.Errorf("rate %v is not between 0 and 1", rate)
+		}
+	}
+	if f.CutOff != "" && f.CutOff != "hang" && f.CutOff != "refuse" {
+		return errors.Errorf("cut-off %q is neither hang nor refuse", f.CutOff)
+	}
+	return nil
+}
+
+func parseFaults(body []byte) (Faults, error) {
+	var faults Faults
+	if err := json.Unmarshal(body, &faults); err != nil {
+		return Faults{}, errors.WithStack(err)
+	}
+	return faults, faults.check()
+}
+
+// fate is what happens to one call.
+type fate struct {
+	delay       time.Duration
+	fail        bool
+	lose        bool
+	late        bool
+	lateBy      time.Duration
+	cutOff      string
+	cutOffUntil time.Time
+}
+
+// injector draws the fate of each call.
+type injector struct {
+	mutex  sync.Mutex
+	faults Faults
+	random *rand.Rand
+	until  time.Time
+}
+
+func newInjector() *injector {
+	return &injector{random: rand.New(rand.NewPCG(0, 0))}
+}
+
+func (i *injector) set(faults Faults, now time.Time) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.faults = faults
+	i.random = rand.New(rand.NewPCG(faults.Seed, 0))
+	i.until = time.Time{}
+	if faults.CutOffFor > 0 {
+		i.until = now.Add(time.Duration(faults.CutOffFor))
+	}
+}
+
+func (i *injector) draw(now time.Time, writes bool) fate {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	f := i.faults
+	drawn := fate{delay: time.Duration(f.Delay), lateBy: time.Duration(f.LateBy), cutOffUntil: i.until}
+	if i.until.IsZero() || now.Before(i.until) {
+		drawn.cutOff = f.CutOff
+	}
+	drawn.fail = i.random.Float64() < f.FailRate
+	lose, late := i.random.Float64() < f.LoseRate, i.random.Float64() < f.LateRate
+	drawn.late = writes && late
+	drawn.lose = writes && lose && !late
+	return drawn
+}
--- /dev/null
+++ b/standin/platform/store/handler.go
@@ -0,0 +1,196 @@
+package store
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// bodyLimit bounds what one request may carry.
+const bodyLimit = 16 << 20
+
+// Handler serves the platform's HTTP interface and, under /admin/, the fault injection.
+type Handler struct {
+	store    *Store
+	injector *injector
+	latency  time.Duration
+	mux      *http.ServeMux
+}
+
+// NewHandler returns a handler; latency is added to every call.
+func NewHandler(s *Store, latency time.Duration) *Handler {
+	h := &Handler{store: s, injector: newInjector(), latency: latency, mux: http.NewServeMux()}
+	h.mux.HandleFunc("POST /table/transact", h.faulty(true, h.transact))
+	h.mux.HandleFunc("GET /table/rows/{key}", h.faulty(false, h.read))
+	h.mux.HandleFunc("GET /table/rows", h.faulty(false, h.list))
+	h.mux.HandleFunc("PUT /objects/{name}", h.faulty(true, h.put))
+	h.mux.HandleFunc("GET /objects/{name}", h.faulty(false, h.get))
+	h.mux.HandleFunc("PUT /admin/faults", h.setFaults)
+	h.mux.HandleFunc("POST /admin/faults", h.setFaults)
+	h.mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, h.store.Counts())
+	})
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the injected faults.
+func (h *Handler) SetFaults(faults Faults) error {
+	if err := faults.check(); err != nil {
+		return err
+	}
+	h.injector.set(faults, time.Now())
+	return nil
+}
+
+func (h *Handler) setFaults(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, bodyLimit))
+	if err != nil {
+		return
+	}
+	faults, err := parseFaults(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.injector.set(faults, time.Now())
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// operation returns a function that takes effect and says what to reply, or an error status for a wrong request.
+type operation func(r *http.Request, body []byte) (effect func() answer, status int)
+
+type answer struct {
+	status int
+	json   any
+	raw    []byte
+}
+
+// faulty wraps an operation with the injected faults.
+func (h *Handler) faulty(writes bool, run operation) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		drawn := h.injector.draw(time.Now(), writes)
+		if drawn.cutOff != "" {
+			if drawn.cutOff == "hang" {
+				pause(r, drawn.cutOffUntil)
+			}
+			panic(http.ErrAbortHandler)
+		}
+		if wait := h.latency + drawn.delay; wait > 0 {
+			pause(r, time.Now().Add(wait))
+		}
+		if drawn.fail {
+			http.Error(w, "injected failure", http.StatusServiceUnavailable)
+			return
+		}
+		effect, status := run(r, body)
+		if status != 0 {
+			http.Error(w, http.StatusText(status), status)
+			return
+		}
+		if drawn.late {
+			time.AfterFunc(drawn.lateBy, func() { effect() })
+			panic(http.ErrAbortHandler)
+		}
+		result := effect()
+		if drawn.lose {
+			panic(http.ErrAbortHandler)
+		}
+		if result.raw != nil {
+			w.WriteHeader(result.status)
+			_, _ = w.Write(result.raw)
+			return
+		}
+		writeJSON(w, result.status, result.json)
+	}
+}
+
+// pause waits until the given time, or until the client leaves when it is zero. A client that leaves does not
+// shorten a delay: its request has arrived and takes effect.
+func pause(r *http.Request, until time.Time) {
+	if until.IsZero() {
+		<-r.Context().Done()
+		return
+	}
+	time.Sleep(time.Until(until))
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func (h *Handler) transact(_ *http.Request, body []byte) (func() answer, int) {
+	var request struct {
+		Writes []Write `json:"writes"`
+	}
+	if err := json.Unmarshal(body, &request); err != nil || len(request.Writes) == 0 {
+		return nil, http.StatusBadRequest
+	}
+	seen := map[string]bool{}
+	for _, w := range request.Writes {
+		if w.Key == "" || w.IfVersion == nil || seen[w.Key] {
+			return nil, http.StatusBadRequest
+		}
+		seen[w.Key] = true
+	}
+	return func() answer {
+		if failed := h.store.Transact(request.Writes); failed != nil {
+			return answer{status: http.StatusConflict, json: map[string][]string{"failed": failed}}
+		}
+		return answer{status: http.StatusOK, json: struct{}{}}
+	}, 0
+}
+
+func (h *Handler) read(r *http.Request, _ []byte) (func() answer, int) {
+	return func() answer {
+		row, found := h.store.Read(r.PathValue("key"))
+		if !found {
+			return answer{status: http.StatusNotFound, json: struct{}{}}
+		}
+		return answer{status: http.StatusOK, json: row}
+	}, 0
+}
+
+func (h *Handler) list(r *http.Request, _ []byte) (func() answer, int) {
+	query := r.URL.Query()
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit <= 0 {
+		return nil, http.StatusBadRequest
+	}
+	return func() answer {
+		rows := h.store.List(query.Get("prefix"), query.Get("after"), limit)
+		return answer{status: http.StatusOK, json: map[string][]Row{"rows": rows}}
+	}, 0
+}
+
+func (h *Handler) put(r *http.Request, body []byte) (func() answer, int) {
+	return func() answer {
+		if !h.store.PutObject(r.PathValue("name"), body, r.Header.Get("If-None-Match") == "*") {
+			return answer{status: http.StatusPreconditionFailed, json: struct{}{}}
+		}
+		return answer{status: http.StatusCreated, json: struct{}{}}
+	}, 0
+}
+
+func (h *Handler) get(r *http.Request, _ []byte) (func() answer, int) {
+	return func() answer {
+		body, found := h.store.GetObject(r.PathValue("name"))
+		if !found {
+			return answer{status: http.StatusNotFound, json: struct{}{}}
+		}
+		return answer{status: http.StatusOK, raw: body}
+	}, 0
+}
--- /dev/null
+++ b/standin/platform/store/store.go
@@ -0,0 +1,143 @@
+// Package store is the table and object store of the platform stand-in, with injected faults. It keeps everything
+// in memory and is no part of the product.
+package store
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+)
+
+// Row is a row of the table.
+type Row struct {
+	// Key is never empty.
+	Key string `json:"key"`
+	// Version is above zero.
+	Version uint64 `json:"version"`
+	// Value is a JSON value other than null.
+	Value json.RawMessage `json:"value"`
+}
+
+// Write is one conditional write.
+type Write struct {
+	// Key is never empty.
+	Key string `json:"key"`
+	// IfVersion is the required version; 0 means that the row must be absent.
+	IfVersion *uint64 `json:"if-version"`
+	// Value is the new value; null deletes the row.
+	Value json.RawMessage `json:"value"`
+}
+
+// Counts are the operations since the start; failed ones are included.
+type Counts struct {
+	Reads        uint64 `json:"reads"`
+	Lists        uint64 `json:"lists"`
+	Transactions uint64 `json:"transactions"`
+	Writes       uint64 `json:"writes"`
+	Conflicts    uint64 `json:"conflicts"`
+	Objects      uint64 `json:"objects"`
+	Rows         int    `json:"rows"`
+}
+
+// Store is the table and the object store. It is safe for concurrent use.
+type Store struct {
+	mutex   sync.Mutex
+	rows    map[string]Row
+	objects map[string][]byte
+	// version is the highest version given out; it never falls, so that a version is used once even across a delete.
+	version uint64
+	counts  Counts
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{rows: map[string]Row{}, objects: map[string][]byte{}}
+}
+
+// Transact applies all writes or none; it returns the keys whose conditions failed.
+func (s *Store) Transact(writes []Write) []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counts.Transactions++
+	s.counts.Writes += uint64(len(writes))
+	failed := []string{}
+	for _, w := range writes {
+		if s.rows[w.Key].Version != *w.IfVersion {
+			failed = append(failed, w.Key)
+		}
+	}
+	if len(failed) > 0 {
+		s.counts.Conflicts++
+		return failed
+	}
+	for _, w := range writes {
+		s.version++
+		if deletes(w.Value) {
+			delete(s.rows, w.Key)
+			continue
+		}
+		s.rows[w.Key] = Row{Key: w.Key, Version: s.version, Value: w.Value}
+	}
+	return nil
+}
+
+func deletes(value json.RawMessage) bool {
+	return len(value) == 0 || bytes.Equal(bytes.TrimSpace(value), []byte("null"))
+}
+
+// Read returns one row.
+func (s *Store) Read(key string) (Row, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counts.Reads++
+	row, found := s.rows[key]
+	return row, found
+}
+
+// List returns up to limit rows with the prefix in key order, behind the key after.
+func (s *Store) List(prefix, after string, limit int) []Row {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counts.Lists++
+	rows := []Row{}
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows[:min(limit, len(rows))]
+}
+
+// PutObject stores the object and reports false when one of that name exists and absent is required.
+func (s *Store) PutObject(name string, body []byte, ifAbsent bool) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counts.Objects++
+	if _, exists := s.objects[name]; exists && ifAbsent {
+		return false
+	}
+	s.objects[name] = slices.Clone(body)
+	return true
+}
+
+// GetObject returns the object.
+func (s *Store) GetObject(name string) ([]byte, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counts.Objects++
+	body, found := s.objects[name]
+	return body, found
+}
+
+// Counts returns the operations since the start.
+func (s *Store) Counts() Counts {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	counts := s.counts
+	counts.Rows = len(s.rows)
+	return counts
+}
