--- a/hemlocknode/calls.go
+++ b/hemlocknode/calls.go
@@ -141,7 +141,7 @@
 }
 
 // Outgoing serves a call that the local target makes. It continues the customer request that the target runs.
-func (c *Calls) Outgoing(ctx context.Context, outgoing *hemlocktarget.Outgoing) (*hemlockcall.Response, error) {
+func (c *Calls) Outgoing(ctx context.Context, outgoing hemlocktarget.Outgoing) (*hemlockcall.Response, error) {
 	start := time.Now()
 	request := &hemlockcall.Request{
 		Service: outgoing.Service,
@@ -157,7 +157,7 @@
 }
 
 func (c *Calls) nested(
-	ctx context.Context, start time.Time, outgoing *hemlocktarget.Outgoing, request *hemlockcall.Request,
+	ctx context.Context, start time.Time, outgoing hemlocktarget.Outgoing, request *hemlockcall.Request,
 ) (*hemlockcall.Response, error) {
 	p, err := planRequest(c.configuration, request)
 	if err != nil {
--- /dev/null
+++ b/hemlocknode/health.go
@@ -0,0 +1,202 @@
+package hemlocknode
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"hemlockhollow/hemlockadmission"
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockconfiguration"
+	"hemlockhollow/hemlockmember"
+	"hemlockhollow/hemlocksuspect"
+	"hemlockhollow/hemlocktarget"
+)
+
+const (
+	// announcementExpiry is how long a target counts as present without an announcement; targets announce every second.
+	announcementExpiry = 3 * time.Second
+	// crashProbeTimeout bounds the connection attempt that tells a crashed target from a broken connection.
+	crashProbeTimeout = 200 * time.Millisecond
+)
+
+// TargetHealth is what this node knows of its local target. The target's own announcements, its drain notice and the
+// connections to it decide; its health endpoint is not asked, because it lags or misleads.
+type TargetHealth struct {
+	configuration *hemlockconfiguration.Holder
+	admission     *hemlockadmission.Controller[*waiter]
+	client        *hemlocktarget.Client
+	suspects      *hemlocksuspect.Table
+	announcer     *Announcer
+	log           logr.Logger
+
+	mutex sync.Mutex
+	// service is empty until the first announcement.
+	service   string
+	address   string
+	slots     int
+	state     hemlockmember.State
+	announced time.Time
+	// drained is the address that sent the drain notice; its later announcements do not count.
+	drained string
+	probing bool
+}
+
+// TargetState is the part of the state dump about the local target.
+type TargetState struct {
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	State    string `json:"state"`
+	Slots    int    `json:"slots"`
+	Age      string `json:"announced-before"`
+	Draining bool   `json:"draining"`
+}
+
+func (h *TargetHealth) serves(service string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.service == service && h.state == hemlockmember.Ready
+}
+
+func (h *TargetHealth) draining() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.state == hemlockmember.Leaving
+}
+
+// Announce takes in an announcement of the target.
+func (h *TargetHealth) Announce(a hemlocktarget.Announcement) error {
+	h.mutex.Lock()
+	if h.drained == a.Address && h.state == hemlockmember.Leaving && time.Since(h.announced) < announcementExpiry {
+		// A draining target goes on announcing until it stops. After a pause it is another process.
+		h.announced = time.Now()
+		h.mutex.Unlock()
+		return nil
+	}
+	slots := h.declaredSlots(a)
+	changed := h.state != hemlockmember.Ready || h.service != a.Service || h.slots != slots || h.address != a.Address
+	h.service, h.address, h.slots, h.announced, h.drained = a.Service, a.Address, slots, time.Now(), ""
+	h.state = hemlockmember.Ready
+	h.mutex.Unlock()
+	if !changed {
+		return nil
+	}
+	h.client.SetAddress(a.Address)
+	h.admission.SetSlots(time.Now(), slots)
+	h.log.Info("target ready", "service", a.Service, "address", a.Address, "slots", slots)
+	h.announcer.announce(a.Service, hemlockmember.Ready, slots)
+	return nil
+}
+
+// declaredSlots returns the slots of the service file, or fewer when the target announces fewer.
+func (h *TargetHealth) declaredSlots(a hemlocktarget.Announcement) int {
+	service, known := h.configuration.Current().Services[a.Service]
+	if !known {
+		return a.Slots
+	}
+	return min(a.Slots, service.Slots)
+}
+
+// Drain takes in the drain notice of the target: no new work is sent to it.
+func (h *TargetHealth) Drain() {
+	h.mutex.Lock()
+	if h.state == hemlockmember.Leaving {
+		h.mutex.Unlock()
+		return
+	}
+	h.state, h.drained = hemlockmember.Leaving, h.address
+	service, slots := h.service, h.slots
+	h.mutex.Unlock()
+	h.log.Info("target leaving", "service", service)
+	h.announcer.announce(service, hemlockmember.Leaving, slots)
+}
+
+// observe takes in a failed run. A broken connection is followed by a connection attempt: if that is refused, the
+// target has crashed.
+func (h *TargetHealth) observe(refusal *hemlockcall.Refusal) {
+	if refusal.Reason != hemlockcall.ReasonConnection {
+		return
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.probing || h.state == hemlockmember.Joining {
+		return
+	}
+	h.probing = true
+	go h.probe(h.address)
+}
+
+func (h *TargetHealth) probe(address string) {
+	connection, err := net.DialTimeout("tcp", address, crashProbeTimeout)
+	if err == nil {
+		_ = connection.Close()
+	}
+	h.mutex.Lock()
+	h.probing = false
+	gone := err != nil && h.address == address && h.state != hemlockmember.Joining
+	h.mutex.Unlock()
+	if gone {
+		h.lost("crashed")
+	}
+}
+
+// lost marks the target as gone. What was in flight at a crash becomes suspect.
+func (h *TargetHealth) lost(why string) {
+	h.mutex.Lock()
+	wasLeaving := h.state == hemlockmember.Leaving
+	h.state = hemlockmember.Joining
+	service := h.service
+	h.mutex.Unlock()
+	now := time.Now()
+	h.admission.SetSlots(now, 0)
+	h.log.Info("target lost", "service", service, "cause", why)
+	h.announcer.announce(service, hemlockmember.Joining, 0)
+	if why == "crashed" && !wasLeaving {
+		h.spread(h.suspects.TargetDied(now))
+	}
+}
+
+func (h *TargetHealth) spread(records []hemlocksuspect.Record) {
+	if len(records) > 0 {
+		h.announcer.spread(records)
+	}
+}
+
+// watch marks a target as lost whose announcements stopped, until the context ends.
+func (h *TargetHealth) watch(ctx context.Context) {
+	ticker := time.NewTicker(announcementExpiry / 6)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			h.mutex.Lock()
+			silent := h.state != hemlockmember.Joining && now.Sub(h.announced) > announcementExpiry
+			h.mutex.Unlock()
+			if silent {
+				h.lost("no announcement")
+			}
+		}
+	}
+}
+
+// State returns the target's part of the state dump.
+func (h *TargetHealth) State() TargetState {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	state := TargetState{
+		Service:  h.service,
+		Address:  h.address,
+		State:    h.state.String(),
+		Slots:    h.slots,
+		Draining: h.state == hemlockmember.Leaving,
+	}
+	if !h.announced.IsZero() {
+		state.Age = time.Since(h.announced).Round(time.Millisecond).String()
+	}
+	return state
+}
--- /dev/null
+++ b/hemlocknode/message.go
@@ -0,0 +1,76 @@
+package hemlocknode
+
+import (
+	"hemlockhollow/hemlockmember"
+	"hemlockhollow/hemlockpeer"
+	"hemlockhollow/hemlocksuspect"
+)
+
+func encodeMessage(m hemlockmember.Message) hemlockpeer.GossipMessage {
+	message := hemlockpeer.GossipMessage{
+		From:                 m.From,
+		Kind:                 uint32(m.Kind),
+		Digests:              m.Digests,
+		ConfigurationVersion: m.ConfigurationVersion,
+		Subject:              m.Subject,
+		Buckets:              m.Buckets,
+		Alive:                m.Alive,
+	}
+	for _, r := range m.Members {
+		message.Members = append(message.Members, hemlockpeer.GossipMember{
+			Address:     r.Address,
+			Zone:        r.Zone,
+			Region:      r.Region,
+			Service:     r.Service,
+			Incarnation: r.Incarnation,
+			State:       uint32(r.State),
+			Slots:       uint32(max(r.Slots, 0)),
+		})
+	}
+	for _, r := range m.Suspects {
+		message.Suspects = append(message.Suspects, hemlockpeer.GossipSuspect{
+			Fingerprint: r.Fingerprint,
+			Origin:      r.Origin,
+			Crash:       r.Crash,
+			Cleared:     r.Cleared,
+			Age:         r.Age,
+		})
+	}
+	return message
+}
+
+func decodeMessage(m hemlockpeer.GossipMessage) hemlockmember.Message {
+	message := hemlockmember.Message{
+		From:                 m.From,
+		Kind:                 hemlockmember.Kind(min(m.Kind, 255)),
+		Digests:              m.Digests,
+		ConfigurationVersion: m.ConfigurationVersion,
+		Subject:              m.Subject,
+		Buckets:              m.Buckets,
+		Alive:                m.Alive,
+	}
+	for _, r := range m.Members {
+		if r.State > uint32(hemlockmember.Dead) {
+			continue
+		}
+		message.Members = append(message.Members, hemlockmember.Member{
+			Address:     r.Address,
+			Zone:        r.Zone,
+			Region:      r.Region,
+			Service:     r.Service,
+			Incarnation: r.Incarnation,
+			State:       hemlockmember.State(r.State),
+			Slots:       int(r.Slots),
+		})
+	}
+	for _, r := range m.Suspects {
+		message.Suspects = append(message.Suspects, hemlocksuspect.Record{
+			Fingerprint: r.Fingerprint,
+			Origin:      r.Origin,
+			Crash:       r.Crash,
+			Cleared:     r.Cleared,
+			Age:         r.Age,
+		})
+	}
+	return message
+}
--- /dev/null
+++ b/hemlocknode/serve.go
@@ -0,0 +1,215 @@
+package hemlocknode
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"hemlockhollow/hemlockadmission"
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockretry"
+	"hemlockhollow/hemlocksuspect"
+	"hemlockhollow/hemlocktrace"
+)
+
+// admissionTick is how often queued requests are checked for expiry.
+const admissionTick = 10 * time.Millisecond
+
+// waiter is a request that waits for a slot of the local target.
+type waiter struct {
+	decided chan struct{}
+}
+
+type ticket = hemlockadmission.Ticket[*waiter]
+
+// Server is the called side of the data path: it admits calls to the local target and runs them there.
+type Server struct {
+	admission *hemlockadmission.Controller[*waiter]
+	target    hemlockcall.Invoker
+	health    *TargetHealth
+	running   *hemlocktrace.Table
+	suspects  *hemlocksuspect.Table
+	metrics   *Metrics
+	// leaving refuses new calls; it is set when the node stops.
+	leaving atomic.Bool
+}
+
+func newAdmission() *hemlockadmission.Controller[*waiter] {
+	return hemlockadmission.New(0, func(t *ticket) { close(t.Value.decided) }, hemlockadmission.WithCold())
+}
+
+// Invoke implements hemlockcall.Invoker for calls of peers and of this node itself.
+func (s *Server) Invoke(ctx context.Context, request *hemlockcall.Request) (*hemlockcall.Response, error) {
+	start := time.Now()
+	response, err := s.serve(ctx, start, request)
+	if err != nil {
+		refusal := hemlockcall.AsRefusal(err)
+		feedback := s.feedback(refusal.Feedback.Retries)
+		refusal = refusal.WithFeedback(feedback)
+		refusal.Answered = true
+		err = refusal
+	}
+	s.metrics.countCall(stageServed, request.Context.Priority, err, time.Since(start))
+	return response, err
+}
+
+// feedback describes the load of the local target.
+func (s *Server) feedback(retries int) hemlockcall.Feedback {
+	snapshot := s.admission.Snapshot(time.Now())
+	return hemlockcall.Feedback{
+		Retries:  retries,
+		Level:    snapshot.Level,
+		InFlight: snapshot.InFlight + snapshot.Queued,
+		Limit:    snapshot.Limit,
+	}
+}
+
+func (s *Server) serve(ctx context.Context, start time.Time, request *hemlockcall.Request) (*hemlockcall.Response, error) {
+	unused := hemlockcall.Feedback{Retries: request.Context.Retries}
+	if err := s.check(start, request); err != nil {
+		return nil, err.WithFeedback(unused)
+	}
+	admitted, err := s.admit(ctx, start, request)
+	if err != nil {
+		return nil, err.WithFeedback(unused)
+	}
+	now := time.Now()
+	// Another node's crash may have become known while the request waited.
+	if s.suspects.Check(now, request.Fingerprint) == hemlocksuspect.Refuse {
+		s.admission.Finish(now, admitted, hemlockadmission.Outcome{Result: hemlockadmission.Cancelled})
+		return nil, s.refuseSuspect().WithFeedback(unused)
+	}
+	return s.run(ctx, now, request, admitted)
+}
+
+func (s *Server) check(now time.Time, request *hemlockcall.Request) *hemlockcall.Refusal {
+	switch {
+	case s.leaving.Load() || s.health.draining():
+		return hemlockcall.Refuse(hemlockcall.ReasonLeaving, "the target is leaving")
+	case !s.health.serves(request.Service):
+		return hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "the target does not serve "+request.Service)
+	case request.Context.Depth > hemlockcall.MaxDepth:
+		return hemlockcall.Refuse(hemlockcall.ReasonInvalid, "the call chain is too deep")
+	case s.suspects.Check(now, request.Fingerprint) == hemlocksuspect.Refuse:
+		return s.refuseSuspect()
+	}
+	return nil
+}
+
+func (s *Server) refuseSuspect() *hemlockcall.Refusal {
+	s.metrics.suspects.Inc(1)
+	return hemlockcall.Refuse(hemlockcall.ReasonSuspect, "this request was running when two targets crashed")
+}
+
+// admit waits for a slot.
+func (s *Server) admit(ctx context.Context, now time.Time, request *hemlockcall.Request) (*ticket, *hemlockcall.Refusal) {
+	demand := hemlockadmission.Demand{
+		Priority:  request.Context.Priority,
+		Rank:      request.Context.Rank,
+		Depth:     request.Context.Depth,
+		Remaining: remainingOf(ctx, request.Context.Remaining),
+		Suspect:   s.suspects.Check(now, request.Fingerprint) == hemlocksuspect.RunAlone,
+	}
+	offered := s.admission.Offer(now, demand, &waiter{decided: make(chan struct{})})
+	if offered.Queued {
+		select {
+		case <-offered.Value.decided:
+		case <-ctx.Done():
+			s.admission.Cancel(time.Now(), offered)
+			<-offered.Value.decided
+		}
+	}
+	if refusal := offered.Refusal(); refusal != nil {
+		return nil, refusal
+	}
+	if ctx.Err() != nil {
+		s.admission.Finish(time.Now(), offered, hemlockadmission.Outcome{Result: hemlockadmission.Cancelled})
+		return nil, endOf(ctx, "while the request waited for a slot")
+	}
+	return offered, nil
+}
+
+// execution is one request at the local target, from its slot to its end.
+type execution struct {
+	server  *Server
+	start   time.Time
+	ticket  *ticket
+	running *hemlocktrace.Running
+	flight  hemlocksuspect.Flight
+	cancel  context.CancelFunc
+}
+
+func (s *Server) run(
+	ctx context.Context, now time.Time, request *hemlockcall.Request, admitted *ticket,
+) (*hemlockcall.Response, error) {
+	remaining := remainingOf(ctx, request.Context.Remaining)
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	ledger := hemlockretry.NewLedger(request.Context.Retries)
+	e := &execution{
+		server:  s,
+		start:   now,
+		ticket:  admitted,
+		running: s.running.Begin(now, request.Context.WithRemaining(remaining), request.Context.Span, ledger, cancel),
+		flight:  s.suspects.Started(request.Fingerprint),
+		cancel:  cancel,
+	}
+	response, err := s.target.Invoke(ctx, request)
+	if err != nil {
+		refusal := hemlockcall.AsRefusal(err)
+		unused := e.end(resultOf(refusal))
+		s.health.observe(refusal)
+		return nil, refusal.WithFeedback(hemlockcall.Feedback{Retries: unused})
+	}
+	if isBounded(response) {
+		feedback := s.feedback(e.end(hemlockadmission.Completed))
+		response.Feedback = func() hemlockcall.Feedback { return feedback }
+		return response, nil
+	}
+	var feedback hemlockcall.Feedback
+	response.Body = observe(response.Body, func(complete bool) {
+		result := hemlockadmission.Completed
+		if !complete {
+			result = hemlockadmission.Failed
+		}
+		feedback = s.feedback(e.end(result))
+	})
+	response.Feedback = func() hemlockcall.Feedback { return feedback }
+	return response, nil
+}
+
+// end frees the slot and returns the unused rest of the retry allowance.
+func (e *execution) end(result hemlockadmission.Result) int {
+	now := time.Now()
+	e.cancel()
+	unused := e.server.running.End(e.running)
+	cleared := e.server.suspects.Finished(now, e.flight, result == hemlockadmission.Completed)
+	e.server.admission.Finish(now, e.ticket, hemlockadmission.Outcome{Result: result, Service: now.Sub(e.start)})
+	e.server.health.spread(cleared)
+	return unused
+}
+
+func resultOf(refusal *hemlockcall.Refusal) hemlockadmission.Result {
+	switch {
+	case refusal.Reason == hemlockcall.ReasonDeadline:
+		return hemlockadmission.TimedOut
+	case refusal.Reason == hemlockcall.ReasonCancelled || refusal.Reason == hemlockcall.ReasonIncomplete:
+		return hemlockadmission.Cancelled
+	case refusal.Reason == hemlockcall.ReasonOverload:
+		return hemlockadmission.Shed
+	}
+	return hemlockadmission.Failed
+}
+
+// Advance drops queued requests whose time ran out, until the context ends.
+func (s *Server) Advance(ctx context.Context) {
+	ticker := time.NewTicker(admissionTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.admission.Advance(now)
+		}
+	}
+}
--- /dev/null
+++ b/hemlocknode/sweep.go
@@ -0,0 +1,48 @@
+package hemlocknode
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"hemlockhollow/hemlockclaim"
+	"hemlockhollow/hemlockconfiguration"
+)
+
+const (
+	sweepInterval = time.Minute
+	// sweepLimit bounds the rows deleted for a service in one run, so that sweeping leaves room for claims.
+	sweepLimit = 1000
+	sweepTime  = 20 * time.Second
+)
+
+// Sweeper deletes claims whose keys can no longer be used.
+type Sweeper struct {
+	table         hemlockclaim.Table
+	configuration *hemlockconfiguration.Holder
+	duties        *Duties
+	log           logr.Logger
+}
+
+func (s *Sweeper) run(ctx context.Context) {
+	if s.table == nil {
+		return
+	}
+	for pause(ctx, sweepInterval) {
+		if holders := s.duties.holders("sweep", "", 1); contains(holders, s.duties.self) {
+			s.sweep(ctx)
+		}
+	}
+}
+
+func (s *Sweeper) sweep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, sweepTime)
+	defer cancel()
+	for _, service := range s.configuration.Current().Services {
+		if _, err := hemlockclaim.Sweep(ctx, s.table, service.Name, service.ClaimRetention, time.Now(), sweepLimit); err != nil {
+			s.log.V(1).Info("claims not swept", "service", service.Name, "error", err.Error())
+			return
+		}
+	}
+}
