--- /dev/null
+++ b/hemlockhttp/refusal.go
@@ -0,0 +1,70 @@
+package hemlockhttp
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+// The headers of a refusal.
+const (
+	HeaderVerdict = ReservedPrefix + "Verdict"
+	HeaderReason  = ReservedPrefix + "Reason"
+)
+
+type refusalBody struct {
+	Verdict string `json:"verdict"`
+	Reason  string `json:"reason"`
+	Detail  string `json:"detail"`
+}
+
+// requestFaults are the statuses of refusals as not run that the request itself caused.
+var requestFaults = map[hemlockcall.Reason]int{
+	hemlockcall.ReasonInvalid:    http.StatusBadRequest,
+	hemlockcall.ReasonIncomplete: http.StatusBadRequest,
+	hemlockcall.ReasonNotFound:   http.StatusNotFound,
+	hemlockcall.ReasonClaimed:    http.StatusConflict,
+	hemlockcall.ReasonTooLarge:   http.StatusRequestEntityTooLarge,
+	hemlockcall.ReasonRepeats:    http.StatusTooManyRequests,
+}
+
+// RefusalStatus returns the HTTP status of a refusal.
+func RefusalStatus(refusal *hemlockcall.Refusal) int {
+	if refusal.Verdict != hemlockcall.NotRun {
+		if refusal.Reason == hemlockcall.ReasonDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	if status, ok := requestFaults[refusal.Reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// WriteRefusal writes a refusal as JSON with its headers. Any error that is no refusal counts as outcome unknown.
+func WriteRefusal(w http.ResponseWriter, err error) {
+	refusal := hemlockcall.AsRefusal(err)
+	body, failure := json.Marshal(refusalBody{
+		Verdict: refusal.Verdict.String(),
+		Reason:  string(refusal.Reason),
+		Detail:  refusal.Detail,
+	})
+	if failure != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set(HeaderVerdict, refusal.Verdict.String())
+	header.Set(HeaderReason, string(refusal.Reason))
+	if refusal.RetryAfter > 0 {
+		seconds := (refusal.RetryAfter + time.Second - 1) / time.Second
+		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	w.WriteHeader(RefusalStatus(refusal))
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/hemlockpeer/call_test.go
@@ -0,0 +1,95 @@
+package hemlockpeer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"hemlockhollow/hemlockcall"
+)
+
+// Guards against a body, header or feedback that is lost or changed between two nodes, at all sizes around the chunk
+// and buffer bounds.
+func TestCallRoundTrip(t *testing.T) {
+	_, address := startServer(t, invokerFunc(echoDigest))
+	client := startClient(t)
+	for _, size := range []int{0, 1, 1 << 10, chunkSize - 1, chunkSize, chunkSize + 1, boundedBody, boundedBody + 1, 3 << 20} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			body := pattern(size, size)
+			response, err := client.To(address).Invoke(context.Background(), newRequest(bytes.NewReader(body), int64(size)))
+			noError(t, err)
+			checkEcho(t, response, "7", body)
+			equal(t, "feedback", response.Feedback(), hemlockcall.Feedback{Retries: 1, InFlight: 3, Limit: 9})
+		})
+	}
+}
+
+func checkEcho(t testing.TB, response *hemlockcall.Response, id string, body []byte) {
+	t.Helper()
+	got, err := io.ReadAll(response.Body)
+	noError(t, err)
+	noError(t, response.Body.Close())
+	equal(t, "id", response.Header.Get("X-Id"), id)
+	equal(t, "digest that the handler saw", response.Header.Get("X-Digest"), digest(body))
+	equal(t, "digest that came back", digest(got), digest(body))
+}
+
+// Guards against crossed answers: every one of thousands of concurrent calls gets the answer with its own id and
+// digest, over connections that are used again and again.
+func TestConcurrentCallsGetTheirOwnAnswers(t *testing.T) {
+	_, address := startServer(t, invokerFunc(echoDigest))
+	client := startClient(t, WithConnections(16), WithPoolWait(20e9))
+	const callers, calls = 64, 60
+	var group sync.WaitGroup
+	for caller := range callers {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(1, uint64(caller)))
+			for i := range calls {
+				id := caller*calls + i
+				body := pattern(id, random.IntN(3*chunkSize))
+				request := newRequest(bytes.NewReader(body), int64(len(body)))
+				request.Header.Set("X-Id", fmt.Sprint(id))
+				response, err := client.To(address).Invoke(context.Background(), request)
+				if err != nil {
+					t.Errorf("call %d: %v", id, err)
+					return
+				}
+				checkEcho(t, response, fmt.Sprint(id), body)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func BenchmarkCall1KB(b *testing.B) {
+	_, address := startServer(b, invokerFunc(echoDigest))
+	for _, workers := range []int{1, 16, 64} {
+		b.Run(fmt.Sprint("workers-", workers), func(b *testing.B) {
+			client := startClient(b, WithConnections(workers))
+			body := pattern(1, 1<<10)
+			b.ReportAllocs()
+			work := make(chan struct{}, workers)
+			var group sync.WaitGroup
+			for range workers {
+				group.Go(func() {
+					for range work {
+						request := newRequest(bytes.NewReader(body), int64(len(body)))
+						response, err := client.To(address).Invoke(context.Background(), request)
+						noError(b, err)
+						_, err = io.Copy(io.Discard, response.Body)
+						noError(b, err)
+					}
+				})
+			}
+			for b.Loop() {
+				work <- struct{}{}
+			}
+			close(work)
+			group.Wait()
+		})
+	}
+}
--- /dev/null
+++ b/hemlockpeer/service.go
@@ -0,0 +1,222 @@
+package hemlockpeer
+
+import (
+	"context"
+	"io"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockerror"
+	"hemlockhollow/hemlockpeer/hemlockwire"
+)
+
+// service adapts the server to the generated interface.
+type service struct {
+	server *Server
+}
+
+func unset(method string) error {
+	return hemlockerror.New(method, KindRemote, "the node does not serve this method")
+}
+
+// Exchange implements hemlockwire.DRPCNodeServer.
+func (s *service) Exchange(ctx context.Context, wire *hemlockwire.Gossip) (*hemlockwire.Gossip, error) {
+	if s.server.settings.exchange == nil {
+		return nil, unset("exchange")
+	}
+	reply, err := s.server.settings.exchange(ctx, decodeGossip(wire))
+	if err != nil {
+		return nil, err
+	}
+	return encodeGossip(reply), nil
+}
+
+// FetchConfiguration implements hemlockwire.DRPCNodeServer.
+func (s *service) FetchConfiguration(
+	ctx context.Context, query *hemlockwire.ConfigurationQuery,
+) (*hemlockwire.ConfigurationAnswer, error) {
+	if s.server.settings.configuration == nil {
+		return nil, unset("fetch configuration")
+	}
+	version, body, err := s.server.settings.configuration(ctx, query.GetNewerThan())
+	if err != nil {
+		return nil, err
+	}
+	return &hemlockwire.ConfigurationAnswer{Version: version, Body: body}, nil
+}
+
+// Claim implements hemlockwire.DRPCNodeServer.
+func (s *service) Claim(ctx context.Context, batch *hemlockwire.ClaimBatch) (*hemlockwire.ClaimResults, error) {
+	if s.server.settings.claim == nil {
+		return nil, unset("claim")
+	}
+	applied, err := s.server.settings.claim(ctx, decodeClaims(batch))
+	if err != nil {
+		return &hemlockwire.ClaimResults{Failure: err.Error()}, nil
+	}
+	return &hemlockwire.ClaimResults{Applied: applied}, nil
+}
+
+// Call implements hemlockwire.DRPCNodeServer.
+func (s *service) Call(stream hemlockwire.DRPCNode_CallStream) error {
+	call := &servedCall{server: s.server, stream: stream}
+	err := call.serve()
+	if isViolation(err) {
+		s.server.settings.countViolation()
+		if transport, ok := drpcctx.Transport(stream.Context()); ok {
+			_ = transport.Close()
+		}
+	}
+	return err
+}
+
+// servedCall is one call on the side of the called node.
+type servedCall struct {
+	server *Server
+	stream hemlockwire.DRPCNode_CallStream
+	reader *frameReader
+	writer *frameWriter
+	body   *requestBody
+}
+
+// errEarly ends the stream of a call that was answered before its request had been read; the caller's node closes
+// the connection.
+var errEarly = hemlockerror.New("call", KindBody, "answered before the end of the request")
+
+func (c *servedCall) serve() error {
+	c.reader = &frameReader{stream: c.stream, learn: true}
+	frame, err := c.reader.next()
+	if err != nil {
+		return err
+	}
+	if frame.GetRequest() == nil {
+		return violation("call", "first frame has no request head")
+	}
+	request, err := decodeRequest(frame.GetRequest())
+	if err != nil {
+		return err
+	}
+	c.reader.declared = request.Length
+	c.writer = &frameWriter{stream: c.stream, call: c.reader.call}
+	if !c.server.begin() {
+		refusal := hemlockcall.Refuse(hemlockcall.ReasonLeaving, "the node is leaving")
+		return c.refuse(refusal.WithFeedback(hemlockcall.Feedback{Retries: request.Context.Retries}))
+	}
+	defer c.server.done()
+	if request.Context.Remaining <= 0 {
+		return c.refuse(hemlockcall.Refuse(hemlockcall.ReasonDeadline, "no time left on arrival"))
+	}
+	ctx, cancel := context.WithTimeout(c.stream.Context(), request.Context.Remaining)
+	defer cancel()
+	return c.run(ctx, cancel, request)
+}
+
+func (c *servedCall) run(ctx context.Context, cancel context.CancelFunc, request *hemlockcall.Request) error {
+	c.body = newRequestBody(ctx, c.reader, cancel)
+	defer c.body.close()
+	if request.Length >= 0 && request.Length <= chunkSize {
+		// A small body is read before the handler runs, which spares a goroutine.
+		if err := c.body.readAll(); err != nil {
+			return err
+		}
+	} else {
+		go c.body.pump()
+	}
+	if request.Length != 0 {
+		request.Body = c.body
+	}
+	response, err := c.server.handler.Invoke(ctx, request)
+	if err != nil {
+		return c.refuse(hemlockcall.AsRefusal(err))
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := c.respond(response); err != nil {
+		return err
+	}
+	return c.settle()
+}
+
+// settle decides whether the connection can be used again: only when the whole request was read and checked.
+func (c *servedCall) settle() error {
+	if c.body != nil {
+		if whole, err := c.body.whole(); !whole {
+			if isViolation(err) {
+				return err
+			}
+			return c.early()
+		}
+		return nil
+	}
+	return c.early()
+}
+
+func (c *servedCall) early() error {
+	if err := flush(c.stream); err != nil {
+		return err
+	}
+	return errEarly
+}
+
+func (c *servedCall) refuse(refusal *hemlockcall.Refusal) error {
+	if err := c.writer.send(&hemlockwire.Frame{Refusal: encodeRefusal(refusal)}); err != nil {
+		return err
+	}
+	return c.settle()
+}
+
+func (c *servedCall) respond(response *hemlockcall.Response) error {
+	head, err := encodeResponse(response)
+	if err != nil {
+		return c.refuse(hemlockcall.Doubt(hemlockcall.ReasonTarget, err.Error()))
+	}
+	if err := c.writer.send(&hemlockwire.Frame{Response: head}); err != nil {
+		return err
+	}
+	stream := head.GetLength() < 0 || head.GetLength() > boundedBody
+	if err := c.sendBody(response, stream); err != nil {
+		return err
+	}
+	return c.writer.end(encodeFeedback(response.Feedback()))
+}
+
+func (c *servedCall) sendBody(response *hemlockcall.Response, stream bool) error {
+	buffer := takeBuffer()
+	defer putBuffer(buffer)
+	if stream {
+		if err := flush(c.stream); err != nil {
+			return err
+		}
+	}
+	for {
+		count, err := response.Body.Read(*buffer)
+		if count > 0 {
+			if failure := c.writer.body((*buffer)[:count]); failure != nil {
+				return failure
+			}
+			if stream {
+				if failure := flush(c.stream); failure != nil {
+					return failure
+				}
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return hemlockerror.Wrap("send response", KindBody, err)
+		}
+	}
+}
+
+// flush sends what a stream with manual flushing has buffered.
+func flush(stream drpc.Stream) error {
+	if wrapped, ok := stream.(interface{ GetStream() drpc.Stream }); ok {
+		stream = wrapped.GetStream()
+	}
+	if flusher, ok := stream.(interface{ RawFlush() error }); ok {
+		return flusher.RawFlush()
+	}
+	return nil
+}
