Wire the node process with its listeners, shutdown and state dump

Cause: the parts of a node need a process.

Ruled out: stopping the duties before the requests in flight, because they still need the view and the claims.

--- /dev/null
+++ b/hemlocknode/assembly.go
@@ -0,0 +1,97 @@
+package hemlocknode
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"hemlockhollow/hemlockadmission"
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockconfiguration"
+	"hemlockhollow/hemlockmember"
+	"hemlockhollow/hemlockplatform"
+	"hemlockhollow/hemlockretry"
+	"hemlockhollow/hemlocksuspect"
+	"hemlockhollow/hemlocktrace"
+)
+
+func provideRepeats() *hemlockretry.RepeatBudget {
+	return hemlockretry.NewRepeatBudget()
+}
+
+func provideRunning() *hemlocktrace.Table {
+	return hemlocktrace.New()
+}
+
+func provideServer(
+	admission *hemlockadmission.Controller[*waiter], target hemlockcall.Invoker, health *TargetHealth,
+	running *hemlocktrace.Table, suspects *hemlocksuspect.Table, metrics *Metrics,
+) *Server {
+	return &Server{
+		admission: admission,
+		target:    target,
+		health:    health,
+		running:   running,
+		suspects:  suspects,
+		metrics:   metrics,
+	}
+}
+
+func provideCalls(
+	configuration *hemlockconfiguration.Holder, dispatcher *Dispatcher, claims Claims,
+	repeats *hemlockretry.RepeatBudget, running *hemlocktrace.Table, budget *byteBudget, metrics *Metrics,
+	log logr.Logger,
+) *Calls {
+	return &Calls{
+		configuration: configuration,
+		dispatcher:    dispatcher,
+		claims:        claims,
+		repeats:       repeats,
+		running:       running,
+		budget:        budget,
+		metrics:       metrics,
+		log:           log.WithName("calls"),
+	}
+}
+
+func provideReporter(
+	settings Settings, configuration *hemlockconfiguration.Holder, gossip *hemlockmember.Gossip, health *TargetHealth,
+	server *Server, running *hemlocktrace.Table, suspects *hemlocksuspect.Table, claims *platformClaims,
+	platform *hemlockplatform.Client, metrics *Metrics,
+) *Reporter {
+	return &Reporter{
+		settings:      settings,
+		started:       time.Now(),
+		configuration: configuration,
+		gossip:        gossip,
+		health:        health,
+		server:        server,
+		running:       running,
+		suspects:      suspects,
+		claims:        claims,
+		platform:      platform,
+		metrics:       metrics,
+	}
+}
+
+func provideNode(
+	settings Settings, log logr.Logger, metrics *Metrics, calls *Calls, server *Server, dispatcher *Dispatcher,
+	health *TargetHealth, announcer *Announcer, watch *ConfigurationWatch, seeds *Seeds, sweeper *Sweeper,
+	claims *platformClaims, reporter *Reporter,
+) *Node {
+	return &Node{
+		settings:   settings,
+		log:        log,
+		metrics:    metrics,
+		calls:      calls,
+		server:     server,
+		dispatcher: dispatcher,
+		health:     health,
+		announcer:  announcer,
+		watch:      watch,
+		seeds:      seeds,
+		sweeper:    sweeper,
+		claims:     claims,
+		reporter:   reporter,
+	}
+}
--- /dev/null
+++ b/hemlocknode/generate.go
@@ -0,0 +1,3 @@
+package hemlocknode
+
+//go:generate wire .
--- /dev/null
+++ b/hemlocknode/headstore.go
@@ -0,0 +1,57 @@
+package hemlocknode
+
+import (
+	"context"
+
+	"hemlockhollow/hemlockconfiguration"
+	"hemlockhollow/hemlockplatform"
+)
+
+// NewHeadStore returns the store of configurations on the platform.
+func NewHeadStore(client *hemlockplatform.Client) hemlockconfiguration.HeadStore {
+	return hemlockconfiguration.NewTableStore(tableRows{client}, objects{client})
+}
+
+type tableRows struct {
+	client *hemlockplatform.Client
+}
+
+// ReadRow implements hemlockconfiguration.Table.
+func (t tableRows) ReadRow(ctx context.Context, key string) ([]byte, uint64, error) {
+	row, err := t.client.Read(ctx, key)
+	if hemlockplatform.KindOf(err) == hemlockplatform.KindNotFound {
+		return nil, 0, nil
+	}
+	return row.Value, row.Version, err
+}
+
+// SwapRow implements hemlockconfiguration.Table.
+func (t tableRows) SwapRow(ctx context.Context, key string, version uint64, value []byte) (bool, error) {
+	_, err := t.client.Transact(ctx, []hemlockplatform.Write{{Key: key, IfVersion: version, Value: value}})
+	if hemlockplatform.KindOf(err) == hemlockplatform.KindConflict {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+type objects struct {
+	client *hemlockplatform.Client
+}
+
+// Put implements hemlockconfiguration.Objects.
+func (o objects) Put(ctx context.Context, name string, body []byte) error {
+	err := o.client.PutObject(ctx, name, body)
+	if hemlockplatform.KindOf(err) == hemlockplatform.KindConflict {
+		return nil
+	}
+	return err
+}
+
+// Get implements hemlockconfiguration.Objects.
+func (o objects) Get(ctx context.Context, name string) ([]byte, bool, error) {
+	body, err := o.client.GetObject(ctx, name)
+	if hemlockplatform.KindOf(err) == hemlockplatform.KindNotFound {
+		return nil, false, nil
+	}
+	return body, err == nil, err
+}
--- a/hemlocknode/health.go
+++ b/hemlocknode/health.go
@@ -200,3 +200,9 @@
 	}
 	return state
 }
+
+func (h *TargetHealth) serviceName() string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.service
+}
--- /dev/null
+++ b/hemlocknode/log.go
@@ -0,0 +1,31 @@
+package hemlocknode
+
+import (
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zapr"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// verbosity maps the names of Settings.LogLevel to zap levels; zapr maps V(1) to -1 and V(2) to -2.
+var verbosity = map[string]zapcore.Level{
+	"error": zapcore.ErrorLevel,
+	"info":  zapcore.InfoLevel,
+	"debug": zapcore.Level(-2),
+}
+
+// NewLog returns a structured log on standard error.
+func NewLog(level string) (logr.Logger, error) {
+	configuration := zap.NewProductionConfig()
+	configuration.Level = zap.NewAtomicLevelAt(verbosity[level])
+	configuration.OutputPaths = []string{"stderr"}
+	configuration.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	configuration.DisableStacktrace = true
+	// Sampling would drop state changes, which are rare and all needed.
+	configuration.Sampling = nil
+	sink, err := configuration.Build()
+	if err != nil {
+		return logr.Discard(), err
+	}
+	return zapr.NewLogger(sink), nil
+}
--- /dev/null
+++ b/hemlocknode/node.go
@@ -0,0 +1,165 @@
+package hemlocknode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockcaller"
+	"hemlockhollow/hemlockerror"
+	"hemlockhollow/hemlockoperator"
+	"hemlockhollow/hemlockpeer"
+	"hemlockhollow/hemlocktarget"
+)
+
+// Node is one process beside a target.
+type Node struct {
+	settings   Settings
+	log        logr.Logger
+	metrics    *Metrics
+	calls      *Calls
+	server     *Server
+	dispatcher *Dispatcher
+	health     *TargetHealth
+	announcer  *Announcer
+	watch      *ConfigurationWatch
+	seeds      *Seeds
+	sweeper    *Sweeper
+	claims     *platformClaims
+	reporter   *Reporter
+
+	callers   *hemlockcaller.Listener
+	target    *hemlocktarget.Listener
+	peers     *hemlockpeer.Server
+	operators *http.Server
+}
+
+// listeners are the sockets of a node, opened before anything is served, so that a wrong address ends the start.
+type listeners struct {
+	callers, target, peers, operators net.Listener
+}
+
+// Run runs a node until a signal asks it to stop, and then shuts it down gracefully.
+func Run(ctx context.Context, settings Settings) error {
+	if err := settings.Validate(); err != nil {
+		return err
+	}
+	log, err := NewLog(settings.LogLevel)
+	if err != nil {
+		return hemlockerror.Wrap("open log", KindSetting, err)
+	}
+	node, closeNode := buildNode(settings, log)
+	defer closeNode()
+	node.openServers()
+	sockets, err := openListeners(settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go node.dumpOnSignal(ctx)
+	return node.serve(ctx, sockets)
+}
+
+func (n *Node) openServers() {
+	n.callers = hemlockcaller.New(
+		func(ctx context.Context, r *hemlockcall.Request, customer, token string) (*hemlockcall.Response, error) {
+			return n.calls.Enter(ctx, r, Credentials{Customer: customer, Token: token})
+		})
+	n.target = hemlocktarget.NewListener(hemlocktarget.Handlers{
+		Announce: n.health.Announce,
+		Drain:    n.health.Drain,
+		Call:     n.calls.Outgoing,
+	})
+	options := []hemlockpeer.Option{
+		hemlockpeer.WithExchange(n.announcer.Receive),
+		hemlockpeer.WithConfiguration(n.watch.serve),
+		hemlockpeer.WithScope(n.metrics.scope.SubScope("peer")),
+	}
+	if n.claims.batcher != nil {
+		options = append(options, hemlockpeer.WithClaim(collectClaims(n.claims.batcher)))
+	}
+	n.peers = hemlockpeer.NewServer(n.server, options...)
+	n.operators = hemlockoperator.New(
+		hemlockoperator.WithMetrics(n.metrics.Handler()),
+		hemlockoperator.WithState(func() any { return n.reporter.State() }),
+		hemlockoperator.WithReady(n.reporter.ready),
+	).Server()
+}
+
+func openListeners(s Settings) (listeners, error) {
+	var opened listeners
+	for _, l := range []struct {
+		flag, address string
+		socket        *net.Listener
+	}{
+		{"callers-address", s.CallersAddress, &opened.callers},
+		{"target-address", s.TargetAddress, &opened.target},
+		{"peers-address", s.PeersAddress, &opened.peers},
+		{"operators-address", s.OperatorsAddress, &opened.operators},
+	} {
+		socket, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return opened, hemlockerror.Wrap("open --"+l.flag, KindListen, err)
+		}
+		*l.socket = socket
+	}
+	return opened, nil
+}
+
+// serve runs all listeners and duties until the context ends, then shuts down.
+func (n *Node) serve(ctx context.Context, sockets listeners) error {
+	// Duties go on during the shutdown: requests in flight still need the view and the claims.
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	for _, duty := range []func(context.Context){
+		n.server.Advance, n.health.watch, n.announcer.run, n.watch.run, n.seeds.run, n.sweeper.run, n.reporter.run,
+	} {
+		go duty(background)
+	}
+	go followView(background, n.dispatcher.view, n.dispatcher.routing)
+	group, failed := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.callers.Serve(sockets.callers) })
+	group.Go(func() error { return n.target.Serve(sockets.target) })
+	group.Go(func() error { return n.peers.Serve(background, sockets.peers) })
+	group.Go(func() error {
+		if err := n.operators.Serve(sockets.operators); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	n.log.Info("node started", "zone", n.settings.Zone, "peers-address", n.settings.PeersAddress)
+	<-failed.Done()
+	if ctx.Err() == nil {
+		return group.Wait()
+	}
+	err := n.shutdown()
+	stopBackground()
+	_ = group.Wait()
+	return err
+}
+
+// dumpOnSignal writes the state dump to standard error on SIGUSR1.
+func (n *Node) dumpOnSignal(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			if text, err := hemlockoperator.EncodeState(n.reporter.State()); err == nil {
+				_, _ = os.Stderr.Write(text)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/hemlocknode/providers.go
@@ -0,0 +1,180 @@
+package hemlocknode
+
+import (
+	"math/rand/v2"
+	"net/url"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"hemlockhollow/hemlockadmission"
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockclaim"
+	"hemlockhollow/hemlockconfiguration"
+	"hemlockhollow/hemlockmember"
+	"hemlockhollow/hemlockpeer"
+	"hemlockhollow/hemlockplatform"
+	"hemlockhollow/hemlockrouting"
+	"hemlockhollow/hemlocksuspect"
+	"hemlockhollow/hemlocktarget"
+)
+
+func provideSuspects(s Settings) *hemlocksuspect.Table {
+	return hemlocksuspect.New(s.PeersAddress)
+}
+
+func provideGossip(s Settings, suspects *hemlocksuspect.Table) *hemlockmember.Gossip {
+	self := hemlockmember.Member{Address: s.PeersAddress, Zone: s.Zone, Region: s.Region, State: hemlockmember.Joining}
+	return hemlockmember.NewGossip(time.Now(), self, s.Seeds, rand.IntN, hemlockmember.WithSuspects(suspects))
+}
+
+func provideView(gossip *hemlockmember.Gossip) *hemlockmember.View {
+	return gossip.View()
+}
+
+func provideRouting(s Settings) *hemlockrouting.Table {
+	return hemlockrouting.New(s.Zone, rand.IntN)
+}
+
+func provideDuties(s Settings, view *hemlockmember.View) *Duties {
+	return newDuties(s.PeersAddress, s.Zone, view)
+}
+
+func providePeerClient(m *Metrics) *hemlockpeer.Client {
+	return hemlockpeer.NewClient(hemlockpeer.WithScope(m.scope.SubScope("peer")))
+}
+
+// provideTargetClient returns the client of the local target. Which statuses mean "not run" and how large an answer
+// may be is read from the configuration in force at each call.
+func provideTargetClient(configuration *hemlockconfiguration.Holder, health *TargetHealth) *hemlocktarget.Client {
+	client := hemlocktarget.NewClient(
+		hemlocktarget.WithNotRunStatuses(func(status int) bool {
+			service, known := configuration.Current().Services[health.serviceName()]
+			return known && service.NotRun(status)
+		}),
+	)
+	health.client = client
+	return client
+}
+
+func provideHealth(
+	configuration *hemlockconfiguration.Holder, admission *hemlockadmission.Controller[*waiter],
+	suspects *hemlocksuspect.Table, announcer *Announcer, log logr.Logger,
+) *TargetHealth {
+	return &TargetHealth{
+		configuration: configuration,
+		admission:     admission,
+		suspects:      suspects,
+		announcer:     announcer,
+		log:           log.WithName("target"),
+	}
+}
+
+func provideAnnouncer(gossip *hemlockmember.Gossip, peers *hemlockpeer.Client, log logr.Logger) *Announcer {
+	return newAnnouncer(gossip, peers, log.WithName("gossip"))
+}
+
+// providePlatform returns nil when no platform is set.
+func providePlatform(s Settings) *hemlockplatform.Client {
+	if s.Platform == "" {
+		return nil
+	}
+	// The settings have been checked, so the URL parses.
+	parsed, err := url.Parse(s.Platform)
+	if err != nil {
+		return nil
+	}
+	return hemlockplatform.New(parsed.Host)
+}
+
+// platformClaims is the local writer of claims and the claimer on top of the zone's collectors.
+type platformClaims struct {
+	batcher *hemlockclaim.Batcher
+	claimer *hemlockclaim.Claimer
+	table   hemlockclaim.Table
+}
+
+// anyService is replaced by Claimer.For for each call.
+const anyService = "any"
+
+func provideClaims(platform *hemlockplatform.Client, peers *hemlockpeer.Client, duties *Duties) *platformClaims {
+	if platform == nil {
+		return &platformClaims{claimer: hemlockclaim.New(unavailableClaims{}, anyService, time.Hour)}
+	}
+	table := hemlockplatform.NewClaims(platform)
+	batcher := hemlockclaim.NewBatcher(hemlockclaim.NewTransactionWriter(table))
+	collector := hemlockclaim.NewCollector(batcher, duties.collector, remoteClaims(peers))
+	store := hemlockclaim.NewStore(table, collector)
+	return &platformClaims{
+		batcher: batcher,
+		claimer: hemlockclaim.New(store, anyService, time.Hour, hemlockclaim.WithObjects(table)),
+		table:   table,
+	}
+}
+
+func provideClaimer(c *platformClaims) Claims {
+	return c.claimer
+}
+
+func provideDispatcher(
+	s Settings, server *Server, peers *hemlockpeer.Client, routing *hemlockrouting.Table,
+	suspects *hemlocksuspect.Table, gossip *hemlockmember.Gossip, metrics *Metrics,
+) *Dispatcher {
+	return &Dispatcher{
+		self:     s.PeersAddress,
+		zone:     s.Zone,
+		local:    server,
+		peers:    peers,
+		routing:  routing,
+		suspects: suspects,
+		view:     gossip.View(),
+		gossip:   gossip,
+		metrics:  metrics,
+	}
+}
+
+func provideInvoker(client *hemlocktarget.Client) hemlockcall.Invoker {
+	return client
+}
+
+func provideBudget(s Settings) *byteBudget {
+	return newByteBudget(s.BufferMemory)
+}
+
+func provideHeadStore(platform *hemlockplatform.Client) hemlockconfiguration.HeadStore {
+	if platform == nil {
+		return nil
+	}
+	return NewHeadStore(platform)
+}
+
+func provideWatch(
+	holder *hemlockconfiguration.Holder, store hemlockconfiguration.HeadStore, peers *hemlockpeer.Client,
+	gossip *hemlockmember.Gossip, announcer *Announcer, duties *Duties, log logr.Logger,
+) *ConfigurationWatch {
+	w := &ConfigurationWatch{
+		holder:    holder,
+		store:     store,
+		peers:     peers,
+		gossip:    gossip,
+		announcer: announcer,
+		duties:    duties,
+		random:    rand.IntN,
+		offers:    make(chan offer, pendingOffers),
+		log:       log.WithName("configuration"),
+	}
+	announcer.newer = w.reported
+	return w
+}
+
+func provideSeeds(
+	s Settings, platform *hemlockplatform.Client, gossip *hemlockmember.Gossip, duties *Duties, log logr.Logger,
+) *Seeds {
+	return &Seeds{client: platform, gossip: gossip, duties: duties, self: s.PeersAddress, zone: s.Zone, log: log.WithName("seeds")}
+}
+
+func provideSweeper(
+	claims *platformClaims, holder *hemlockconfiguration.Holder, duties *Duties, log logr.Logger,
+) *Sweeper {
+	return &Sweeper{table: claims.table, configuration: holder, duties: duties, log: log.WithName("sweep")}
+}
--- /dev/null
+++ b/hemlocknode/shutdown.go
@@ -0,0 +1,55 @@
+package hemlocknode
+
+import (
+	"context"
+	"time"
+
+	"hemlockhollow/hemlockerror"
+	"hemlockhollow/hemlockmember"
+)
+
+// shutdown stops the node without cutting off a request: it announces that it leaves, refuses new calls of peers as
+// not run, tells callers to connect elsewhere, and waits for what is in flight. The listener of the local target
+// closes last but one, because running requests still make calls.
+func (n *Node) shutdown() error {
+	n.log.Info("node stopping")
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout)
+	defer cancel()
+	n.server.leaving.Store(true)
+	n.reporter.stopping.Store(true)
+	state := n.health.State()
+	n.announcer.announce(state.Service, hemlockmember.Leaving, state.Slots)
+	n.peers.Drain()
+	n.callers.Drain()
+	pause(ctx, n.settings.DrainGrace)
+	steps := []func(context.Context) error{
+		n.callers.Shutdown,
+		n.peers.Shutdown,
+		n.waitForClaims,
+		n.target.Shutdown,
+		n.operators.Shutdown,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return hemlockerror.Wrap("stop", KindStop, err)
+		}
+	}
+	n.log.Info("node stopped", "duration", time.Since(start).String())
+	return nil
+}
+
+// waitForClaims waits until answers of claimed requests are stored.
+func (n *Node) waitForClaims(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		n.calls.background.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/hemlockpeer/message.go
+++ b/hemlockpeer/message.go
@@ -22,7 +22,8 @@
 // GossipSuspect is a request that was in flight when a target died.
 type GossipSuspect struct {
 	Fingerprint uint64
-	Crashes     uint32
+	// Cleared marks a record that a completed run has withdrawn.
+	Cleared bool
 	// Age is the time since the crash; clock readings are never sent between hosts.
 	Age time.Duration
 	// Origin is the address of the node that saw the crash.
@@ -73,7 +74,7 @@
 	}
 	for _, s := range m.Suspects {
 		wire.Suspects = append(wire.Suspects, &hemlockwire.Suspect{
-			Fingerprint: s.Fingerprint, Crashes: s.Crashes, Origin: s.Origin, CrashId: s.Crash,
+			Fingerprint: s.Fingerprint, Cleared: s.Cleared, Origin: s.Origin, CrashId: s.Crash,
 			AgeMilliseconds: uint32(min(max(s.Age, 0), maximumRemaining) / time.Millisecond),
 		})
 	}
@@ -98,7 +99,7 @@
 	}
 	for _, s := range wire.GetSuspects() {
 		m.Suspects = append(m.Suspects, GossipSuspect{
-			Fingerprint: s.GetFingerprint(), Crashes: s.GetCrashes(), Origin: s.GetOrigin(), Crash: s.GetCrashId(),
+			Fingerprint: s.GetFingerprint(), Cleared: s.GetCleared(), Origin: s.GetOrigin(), Crash: s.GetCrashId(),
 			Age: time.Duration(s.GetAgeMilliseconds()) * time.Millisecond,
 		})
 	}
