Add the simulated target

Cause: the data path needs a service instance to run against.

Change: standin/target announces itself, runs, sheds, crashes and drains as its flags and request headers say, and logs the runs of each Idempotency-Key.

Ruled out: answering 503 when a downstream call fails, because 503 says that the request was not run.

--- /dev/null
+++ b/standin/target/announce.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// announcer tells the node about the target every second, and that it leaves.
+type announcer struct {
+	node    string
+	service string
+	slots   int
+	address string
+}
+
+type announcement struct {
+	Service string `json:"service"`
+	Slots   int    `json:"slots"`
+	Address string `json:"address"`
+}
+
+// run announces until the context ends and then says that the target leaves.
+func (a *announcer) run(ctx context.Context) {
+	body, err := json.Marshal(announcement{Service: a.service, Slots: a.slots, Address: a.address})
+	if err != nil {
+		return
+	}
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		// A node that does not answer is asked again with the next announcement.
+		a.post("/announce", body)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			a.post("/drain", nil)
+			return
+		}
+	}
+}
+
+func (a *announcer) post(path string, body []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.node+path, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
--- /dev/null
+++ b/standin/target/main.go
@@ -0,0 +1,93 @@
+// Command target simulates a service instance beside a node. It is no part of the product.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// drainLimit bounds how long a target that leaves waits for its requests.
+const drainLimit = 30 * time.Second
+
+type flags struct {
+	listen      string
+	node        string
+	service     string
+	slots       int
+	serviceTime time.Duration
+	spread      float64
+	seed        uint64
+	cold        time.Duration
+	coldFactor  float64
+	lie         bool
+	downstream  string
+}
+
+func parseFlags() flags {
+	f := flags{listen: "127.0.0.1:0", slots: 10, serviceTime: 5 * time.Millisecond, spread: 0.5, seed: 1, coldFactor: 3}
+	flaggy.SetName("target")
+	flaggy.SetDescription("simulates a service instance beside a node")
+	flaggy.String(&f.listen, "", "listen", "address to listen on")
+	flaggy.String(&f.node, "", "node", "address of the node's listener for the local target")
+	flaggy.String(&f.service, "", "service", "service name")
+	flaggy.Int(&f.slots, "", "slots", "requests that run at once; more are answered with 503")
+	flaggy.Duration(&f.serviceTime, "", "service-time", "mean service time")
+	flaggy.Float64(&f.spread, "", "spread", "relative spread of the service time, 0 to 1")
+	flaggy.UInt64(&f.seed, "", "seed", "seed of the service times")
+	flaggy.Duration(&f.cold, "", "cold", "how long the target is slow after its start")
+	flaggy.Float64(&f.coldFactor, "", "cold-factor", "factor on the service time while cold")
+	flaggy.Bool(&f.lie, "", "lie", "the health endpoint always reports health")
+	flaggy.String(&f.downstream, "", "downstream", "comma-separated calls through the node: [METHOD ]/SERVICE/PATH")
+	flaggy.Parse()
+	return f
+}
+
+func main() {
+	if err := run(parseFlags()); err != nil {
+		fmt.Fprintln(os.Stderr, "target:", err)
+		os.Exit(1)
+	}
+}
+
+func run(f flags) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	listener, err := net.Listen("tcp", f.listen)
+	if err != nil {
+		return err
+	}
+	t := newTarget(options{
+		slots: f.slots, serviceTime: f.serviceTime, spread: f.spread, seed: f.seed,
+		cold: f.cold, coldFactor: f.coldFactor, lie: f.lie, crash: func() { os.Exit(3) },
+	})
+	if f.downstream != "" {
+		t.downstream = &downstream{node: f.node, calls: strings.Split(f.downstream, ","), client: &http.Client{}}
+	}
+	server := &http.Server{Handler: t, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	fmt.Println("listening on", listener.Addr())
+	if f.node != "" {
+		a := &announcer{node: f.node, service: f.service, slots: f.slots, address: listener.Addr().String()}
+		a.run(ctx)
+	} else {
+		select {
+		case <-ctx.Done():
+		case err := <-served:
+			return err
+		}
+	}
+	t.draining.Store(true)
+	limited, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	return server.Shutdown(limited)
+}
--- /dev/null
+++ b/standin/target/target.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"hash"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	headerCrash  = "X-Crash"
+	headerID     = "X-Request-Id"
+	headerDigest = "X-Body-Digest"
+	headerAnswer = "X-Answer-Digest"
+	headerKey    = "Idempotency-Key"
+	// maximumAnswer bounds the size that a query may ask for.
+	maximumAnswer = 1 << 30
+)
+
+type options struct {
+	slots       int
+	serviceTime time.Duration
+	// spread is the relative spread of the service time, uniform around the mean.
+	spread     float64
+	seed       uint64
+	cold       time.Duration
+	coldFactor float64
+	lie        bool
+	// crash ends the process at once.
+	crash func()
+}
+
+// target is the simulated service.
+type target struct {
+	options    options
+	downstream *downstream
+	log        *runLog
+	mux        *http.ServeMux
+	started    time.Time
+	draining   atomic.Bool
+	slots      chan struct{}
+
+	mutex  sync.Mutex
+	random *rand.Rand
+}
+
+func newTarget(o options) *target {
+	t := &target{
+		options: o, log: newRunLog(), mux: http.NewServeMux(), started: time.Now(),
+		slots: make(chan struct{}, o.slots), random: rand.New(rand.NewPCG(o.seed, 0)),
+	}
+	t.mux.HandleFunc("GET /health", t.health)
+	t.mux.HandleFunc("GET /log/runs", t.log.serveRuns)
+	t.mux.HandleFunc("GET /log/counters", t.log.serveCounters)
+	t.mux.HandleFunc("/", t.request)
+	return t
+}
+
+// ServeHTTP implements http.Handler.
+func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.mux.ServeHTTP(w, r)
+}
+
+func (t *target) health(w http.ResponseWriter, _ *http.Request) {
+	if !t.options.lie && (t.draining.Load() || len(t.slots) == cap(t.slots)) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// request runs one request, or sheds it before it has run.
+func (t *target) request(w http.ResponseWriter, r *http.Request) {
+	select {
+	case t.slots <- struct{}{}:
+		defer func() { <-t.slots }()
+	default:
+		t.log.count("shed", 1)
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	t.log.run(r.Header.Get(headerKey))
+	if r.Header.Get(headerCrash) != "" {
+		t.options.crash()
+	}
+	received := sha256.New()
+	count, err := io.Copy(received, r.Body)
+	t.log.count("uploaded", count)
+	if err != nil {
+		t.log.count("uploads-broken", 1)
+		panic(http.ErrAbortHandler)
+	}
+	if !t.work(r.Context()) {
+		t.log.count("cancelled", 1)
+		panic(http.ErrAbortHandler)
+	}
+	if t.downstream != nil {
+		if err := t.downstream.run(r.Context(), r.Header.Get("Traceparent")); err != nil {
+			// Not 503, which would say that the request was not run.
+			t.log.count("downstream-failed", 1)
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+	}
+	t.answer(w, r, received)
+}
+
+// work takes the service time; it returns false when the request was cancelled.
+func (t *target) work(ctx context.Context) bool {
+	timer := time.NewTimer(t.duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (t *target) duration() time.Duration {
+	t.mutex.Lock()
+	factor := 1 + t.options.spread*(2*t.random.Float64()-1)
+	t.mutex.Unlock()
+	if time.Since(t.started) < t.options.cold {
+		factor *= t.options.coldFactor
+	}
+	return time.Duration(float64(t.options.serviceTime) * factor)
+}
+
+// answer echoes the request's id and the digest of its body, and sends as many bytes as the query asks for.
+func (t *target) answer(w http.ResponseWriter, r *http.Request, received hash.Hash) {
+	id, query := r.Header.Get(headerID), r.URL.Query()
+	size, stream := parseSize(query.Get("size")), parseSize(query.Get("stream"))
+	header := w.Header()
+	header.Set("Content-Type", "application/octet-stream")
+	header.Set(headerID, id)
+	header.Set(headerDigest, hex.EncodeToString(received.Sum(nil)))
+	expected := sha256.New()
+	_ = writePattern(expected, id, max(size, stream), nil)
+	header.Set(headerAnswer, hex.EncodeToString(expected.Sum(nil)))
+	flush := func() error { return nil }
+	if stream > 0 {
+		flush = http.NewResponseController(w).Flush
+	} else {
+		header.Set("Content-Length", strconv.FormatInt(size, 10))
+	}
+	if err := writePattern(w, id, max(size, stream), flush); err != nil {
+		t.log.count("answers-broken", 1)
+		panic(http.ErrAbortHandler)
+	}
+	t.log.count("answered", 1)
+}
+
+func parseSize(text string) int64 {
+	size, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return min(max(size, 0), maximumAnswer)
+}
+
+// writePattern writes size bytes that depend on the id, so that an answer to another request is seen.
+func writePattern(w io.Writer, id string, size int64, flush func() error) error {
+	unit := []byte(id + ";")
+	chunk := make([]byte, 0, 32<<10)
+	for len(chunk)+len(unit) <= cap(chunk) {
+		chunk = append(chunk, unit...)
+	}
+	if len(chunk) == 0 {
+		chunk = unit
+	}
+	for size > 0 {
+		part := chunk[:min(size, int64(len(chunk)))]
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+		if flush != nil {
+			if err := flush(); err != nil {
+				return err
+			}
+		}
+		size -= int64(len(part))
+	}
+	return nil
+}
