--- a/hemlockrouting/choice.go
+++ b/hemlockrouting/choice.go
@@ -9,36 +9,65 @@
 
 // The methods of this file are called with the lock held.
 
-// choose picks in this order: a bad target whose probe is due, the own zone, other zones, bad targets.
+// choose picks a target, or sheds the call. A shed call holds up the priorities below it, for as long as a target
+// does after a refusal: else they would be admitted as soon as a reported level expires.
 func (t *Table) choose(now time.Time, g *group, p hemlockcall.Priority, tried []string) (*entry, Kind) {
-	if e := t.dueProbe(now, g, p, tried); e != nil {
+	if !t.settings.off[EarlyShedding] && now.Before(g.heldBelow(p)) {
+		g.held[p] = now.Add(t.settings.levelAge)
+		return nil, KindShed
+	}
+	e := t.find(now, g, p, tried)
+	if e != nil {
 		return e, ""
 	}
+	kind := g.whyNone(tried)
+	if kind == KindShed {
+		g.held[p] = now.Add(t.settings.levelAge)
+	}
+	return nil, kind
+}
+
+// heldBelow returns until when calls of the priority are shed.
+func (g *group) heldBelow(p hemlockcall.Priority) time.Time {
+	var until time.Time
+	for _, held := range g.held[p+1:] {
+		if held.After(until) {
+			until = held
+		}
+	}
+	return until
+}
+
+// find picks in this order: a bad target whose probe is due, the own zone, other zones, bad targets.
+func (t *Table) find(now time.Time, g *group, p hemlockcall.Priority, tried []string) *entry {
+	if e := t.dueProbe(now, g, p, tried); e != nil {
+		return e
+	}
 	// When the own zone has fewer slots than its share of the load, the rest goes to the others from the start.
 	local := g.shortfall == 0 || float64(t.random(1000)) >= g.shortfall*1000
 	if local {
 		if e := t.better(now, g.own, p, tried, true); e != nil {
-			return e, ""
+			return e
 		}
 	}
 	if !local || p > hemlockcall.Sheddable || t.mayOverflow(now, g, tried) {
 		if e := t.better(now, g.other, p, tried, true); e != nil {
-			return e, ""
+			return e
 		}
 	}
 	if !local {
 		if e := t.better(now, g.own, p, tried, true); e != nil {
-			return e, ""
+			return e
 		}
 	}
 	// No healthy target admits the call. A bad one is better than none; one that sheds the priority is not.
 	if e := t.better(now, g.own, p, tried, false); e != nil {
-		return e, ""
+		return e
 	}
-	if e := t.better(now, g.other, p, tried, false); e != nil && p > hemlockcall.Sheddable {
-		return e, ""
+	if p > hemlockcall.Sheddable {
+		return t.better(now, g.other, p, tried, false)
 	}
-	return nil, t.whyNone(g, tried)
+	return nil
 }
 
 // mayOverflow spends the bounded share of sheddable calls that may leave a full zone. A zone without ready targets
@@ -55,7 +84,7 @@
 	return true
 }
 
-func (t *Table) whyNone(g *group, tried []string) Kind {
+func (g *group) whyNone(tried []string) Kind {
 	for _, entries := range [][]*entry{g.own, g.other} {
 		if slices.ContainsFunc(entries, func(e *entry) bool { return e.eligible(tried) }) {
 			return KindShed
--- a/hemlockrouting/outlier.go
+++ b/hemlockrouting/outlier.go
@@ -113,12 +113,13 @@
 	if g.bad == 0 || t.settings.off[Probes] {
 		return nil
 	}
+	due := now
 	if p == hemlockcall.Critical {
-		now = now.Add(-criticalWait)
+		due = now.Add(-criticalWait)
 	}
 	for _, entries := range [][]*entry{g.own, g.other} {
 		for _, e := range entries {
-			if e.bad && e.eligible(tried) && !now.Before(e.probeAt) {
+			if e.bad && !due.Before(e.probeAt) && t.usable(now, e, p, tried, false) {
 				e.probing = true
 				e.probeAt = now.Add(probeLost)
 				return e
