Count calls to a chosen target as in flight

Cause: a suspect request goes to one fixed target of the zone, past Pick, and its call has to count as load.

Change: Table.Use counts such a call until Done.

Conclusion: the data path can send suspects without a wrong in-flight count.

--- a/hemlockrouting/table.go
+++ b/hemlockrouting/table.go
@@ -139,6 +139,15 @@
 	}
 }
 
+// Use counts a call to a target that the caller chose itself as in flight until Done.
+func (t *Table) Use(_ time.Time, address string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if e := t.entries[address]; e != nil {
+		e.inFlight++
+	}
+}
+
 // Pick chooses a target that is not among the tried ones and counts the call as in flight until Done.
 func (t *Table) Pick(now time.Time, service string, p hemlockcall.Priority, tried []string) (Target, error) {
 	t.mutex.Lock()
