--- /dev/null
+++ b/standin/load/results.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// results is the JSON summary of a run.
+type results struct {
+	Classes []*classResult `json:"classes"`
+	mutex   sync.Mutex
+}
+
+// classResult is the summary of one class.
+type classResult struct {
+	Name string `json:"name"`
+	// Sent counts requests, Attempts what callers sent for them.
+	Sent     int            `json:"sent"`
+	Attempts int            `json:"attempts"`
+	Ends     map[string]int `json:"ends"`
+	// P50 and P99 are of whole answers, in milliseconds.
+	P50 float64 `json:"p50-ms"`
+	P99 float64 `json:"p99-ms"`
+	// Offered and Whole are counts by the second in which the request was sent.
+	Offered []int `json:"offered"`
+	Whole   []int `json:"whole"`
+	// Latest holds the 99th percentile of the requests of each second, in milliseconds.
+	Latest []float64 `json:"p99-by-second-ms"`
+	// WholeKeys are the idempotency keys of requests with a whole answer; NotRunKeys those whose every attempt was
+	// refused as not run.
+	WholeKeys  []string `json:"whole-keys,omitempty"`
+	NotRunKeys []string `json:"not-run-keys,omitempty"`
+
+	latencies [][]time.Duration
+}
+
+func newResults(classes []class, duration time.Duration) *results {
+	seconds := int((duration + time.Second - 1) / time.Second)
+	collected := &results{}
+	for _, c := range classes {
+		collected.Classes = append(collected.Classes, &classResult{
+			Name:      c.name,
+			Ends:      map[string]int{},
+			Offered:   make([]int, seconds),
+			Whole:     make([]int, seconds),
+			Latest:    make([]float64, seconds),
+			latencies: make([][]time.Duration, seconds),
+		})
+	}
+	return collected
+}
+
+func (r *results) add(index int, at, latency time.Duration, sent int, ended end, key string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	result := r.Classes[index]
+	second := min(int(at/time.Second), len(result.Offered)-1)
+	result.Sent++
+	result.Attempts += sent
+	result.Ends[endNames[ended]]++
+	result.Offered[second]++
+	switch ended {
+	case endWhole:
+		result.Whole[second]++
+		result.latencies[second] = append(result.latencies[second], latency)
+		if key != "" {
+			result.WholeKeys = append(result.WholeKeys, key)
+		}
+	case endNotRun:
+		if key != "" && sent == 1 {
+			result.NotRunKeys = append(result.NotRunKeys, key)
+		}
+	}
+}
+
+func (r *results) summarize() {
+	for _, c := range r.Classes {
+		var all []time.Duration
+		for second, latencies := range c.latencies {
+			slices.Sort(latencies)
+			c.Latest[second] = milliseconds(quantile(latencies, 0.99))
+			all = append(all, latencies...)
+		}
+		slices.Sort(all)
+		c.P50, c.P99 = milliseconds(quantile(all, 0.5)), milliseconds(quantile(all, 0.99))
+	}
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+}
