Add the command line

Cause: operators need check, publish, state and version, with the exit codes of section 7 of the design.

Change: flaggy parses the flags; a screen before it refuses unknown, repeated and empty ones with the flag, the value and what is allowed, because flaggy drops unknown flags or exits on its own. Every flag can come from HEMLOCK_ and its name. The node and the platform store are function values, so that the command line depends on neither.

Ruled out: flaggy's own subcommands and help. They print help to the error output and end the process in the middle of the parse.

Conclusion: covered by scripts that check messages and exit codes, and by a fuzz target over the arguments.

--- /dev/null
+++ b/hemlockcommand/command_test.go
@@ -0,0 +1,128 @@
+package hemlockcommand
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"hemlockhollow/hemlockconfiguration"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"hemlockhollow": func() {
+		c := Command{Environment: os.LookupEnv, Output: os.Stdout, Errors: os.Stderr, Node: nodeStub, Store: newStoreStub}
+		os.Exit(c.Run(context.Background(), os.Args[1:]))
+	}})
+}
+
+type settingError struct{ error }
+
+func (settingError) ExitCode() int { return exitUsage }
+
+func nodeStub(_ context.Context, arguments []string) error {
+	if strings.Join(arguments, " ") == "--zone a" {
+		return nil
+	}
+	return settingError{errors.New("flag --zone is missing")}
+}
+
+// storeStub keeps the head and its objects in the directory $STORE, so that the commands of a script share them.
+type storeStub struct{}
+
+func newStoreStub(platform string) (hemlockconfiguration.HeadStore, error) {
+	if strings.HasSuffix(platform, ":1") {
+		return nil, errors.New("connection refused")
+	}
+	return hemlockconfiguration.NewTableStore(storeStub{}, storeStub{}), nil
+}
+
+func path(name string) string {
+	return os.Getenv("STORE") + "/" + strings.ReplaceAll(name, "/", "_")
+}
+
+func (storeStub) ReadRow(_ context.Context, key string) ([]byte, uint64, error) {
+	value, err := os.ReadFile(path(key))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, 0, nil
+	}
+	return value[1:], uint64(value[0]), err
+}
+
+func (s storeStub) SwapRow(ctx context.Context, key string, version uint64, value []byte) (bool, error) {
+	if _, current, _ := s.ReadRow(ctx, key); current != version {
+		return false, nil
+	}
+	return true, os.WriteFile(path(key), append([]byte{byte(version + 1)}, value...), 0o600)
+}
+
+func (storeStub) Put(_ context.Context, name string, body []byte) error {
+	return os.WriteFile(path(name), body, 0o600)
+}
+
+func (storeStub) Get(_ context.Context, name string) ([]byte, bool, error) {
+	body, err := os.ReadFile(path(name))
+	return body, err == nil, nil
+}
+
+// Guards against a subcommand whose messages or exit codes differ from section 7 of the design.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(e *testscript.Env) error {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method != http.MethodGet || r.URL.Path != "/state" {
+					w.WriteHeader(http.StatusNotFound)
+				}
+				_, _ = w.Write([]byte(`{"version":7}`))
+			}))
+			e.Defer(server.Close)
+			e.Setenv("OPERATOR", strings.TrimPrefix(server.URL, "http://"))
+			e.Setenv("STORE", e.WorkDir)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			// status CODE COMMAND... checks the exit code, which testscript itself does not show.
+			"status": func(ts *testscript.TestScript, _ bool, arguments []string) {
+				err := ts.Exec(arguments[1], arguments[2:]...)
+				code := "0"
+				if err != nil {
+					code = strings.TrimPrefix(err.Error(), "exit status ")
+				}
+				if code != arguments[0] {
+					ts.Fatalf("%v ended with %v, want %s", arguments[1:], err, arguments[0])
+				}
+			},
+		},
+	})
+}
+
+// Guards against arguments with which the flag library panics, exits or passes over a flag.
+func FuzzArguments(f *testing.F) {
+	for _, a := range []string{"check\n--base\n5", "publish\n--base\n-1", "publish\n--remove=\n--platform", "state\n--", "check\n-\n--=",
+		"publish\n-x=y\n", "--version", "state\n--operator\n127.0.0.1:0", "completion\nbash", "publish\n--test.v"} {
+		f.Add(a)
+	}
+	flaggy.PanicInsteadOfExit = true
+	f.Fuzz(func(t *testing.T, text string) {
+		arguments := strings.Split(text, "\n")
+		if arguments[0] == "check" || strings.Contains(text, "operator") {
+			return // no files and no connections while fuzzing
+		}
+		var output bytes.Buffer
+		c := Command{Environment: func(string) (string, bool) { return "", false }, Output: &output, Errors: &output}
+		if code := c.Run(context.Background(), arguments); code != exitSuccess && code != exitUsage {
+			t.Errorf("%q ended with exit code %d: %s", arguments, code, &output)
+		}
+		if strings.Contains(output.String(), "goroutine") {
+			t.Errorf("%q printed a stack", arguments)
+		}
+	})
+}
--- /dev/null
+++ b/hemlockcommand/error.go
@@ -0,0 +1,71 @@
+package hemlockcommand
+
+import (
+	"github.com/pkg/errors"
+
+	"hemlockhollow/hemlockconfiguration"
+	"hemlockhollow/hemlockerror"
+)
+
+// Kind says what kind of error a subcommand ended in.
+type Kind string
+
+// The kinds of errors; each has its exit code.
+const (
+	// KindUsage is a wrong flag, setting or file.
+	KindUsage Kind = "wrong setting"
+	// KindFailure is a failure at run time.
+	KindFailure Kind = "failed"
+	// KindUnreachable is a platform that does not answer.
+	KindUnreachable Kind = "platform unreachable"
+	// KindConflict is a publish that was refused because of a concurrent one.
+	KindConflict Kind = "conflict"
+)
+
+// Error is the error type of this package.
+type Error = hemlockerror.Error[Kind]
+
+// The exit codes of the process.
+const (
+	exitSuccess     = 0
+	exitFailure     = 1
+	exitUsage       = 2
+	exitUnreachable = 3
+	exitConflict    = 4
+)
+
+// coded is an error of another package that knows its exit code, such as a wrong setting of a node.
+type coded interface {
+	ExitCode() int
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return exitSuccess
+	}
+	var own coded
+	if errors.As(err, &own) {
+		return own.ExitCode()
+	}
+	switch hemlockerror.KindOf[Kind](err) {
+	case KindUsage:
+		return exitUsage
+	case KindUnreachable:
+		return exitUnreachable
+	case KindConflict:
+		return exitConflict
+	}
+	switch hemlockerror.KindOf[hemlockconfiguration.Kind](err) {
+	case hemlockconfiguration.KindInvalid:
+		return exitUsage
+	case hemlockconfiguration.KindUnavailable:
+		return exitUnreachable
+	case hemlockconfiguration.KindConflict, hemlockconfiguration.KindContended:
+		return exitConflict
+	}
+	return exitFailure
+}
+
+func usage(operation, format string, arguments ...any) error {
+	return hemlockerror.Wrap(operation, KindUsage, errors.Errorf(format, arguments...))
+}
