Merge the command line and read the node's settings with it

Cause: the node parsed its flags by itself, so its messages differed from those of the other subcommands.

Change: the node's flags are options of the common command line. Repeats are counted by customer or, for unknown callers, by host; a new idempotency key makes a new request. Browsing may leave a zone whose targets are all bad.

--- a/hemlockcaller/listener.go
+++ b/hemlockcaller/listener.go
@@ -33,8 +33,16 @@
 // Error is the error type of this package.
 type Error = hemlockerror.Error[Kind]
 
+// Caller is what a caller says of itself, and where it calls from.
+type Caller struct {
+	// Customer and Token are unchecked.
+	Customer, Token string
+	// Host is the IP of the caller's connection.
+	Host string
+}
+
 // Handler serves one request of a caller; its error is a *hemlockcall.Refusal.
-type Handler func(ctx context.Context, request *hemlockcall.Request, customer, token string) (*hemlockcall.Response, error)
+type Handler func(ctx context.Context, request *hemlockcall.Request, from Caller) (*hemlockcall.Response, error)
 
 // Listener is the HTTP interface for callers.
 type Listener struct {
@@ -89,10 +97,18 @@
 		hemlockhttp.WriteRefusal(w, err)
 		return
 	}
-	response, err := l.handler(r.Context(), request, r.Header.Get(headerCustomer), r.Header.Get(headerToken))
+	response, err := l.handler(r.Context(), request, callerOf(r))
 	if err != nil {
 		hemlockhttp.WriteRefusal(w, err)
 		return
 	}
 	hemlockhttp.WriteResponse(w, r, response)
 }
+
+func callerOf(r *http.Request) Caller {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
+	return Caller{Customer: r.Header.Get(headerCustomer), Token: r.Header.Get(headerToken), Host: host}
+}
--- a/hemlocknode/calls.go
+++ b/hemlocknode/calls.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"hemlockhollow/hemlockcall"
@@ -33,6 +34,8 @@
 type Credentials struct {
 	// Customer is the claimed name; it counts only when the configuration accepts the token.
 	Customer, Token string
+	// Host is the IP of the caller.
+	Host string
 }
 
 // Enter serves a request of a caller.
@@ -64,7 +67,7 @@
 		Retries:   p.rule.Retries,
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.rule.Timeout)
-	response, err := c.enterWithin(ctx, start, p, request)
+	response, err := c.enterWithin(ctx, start, p, request, from)
 	return release(response, err, cancel)
 }
 
@@ -80,37 +83,54 @@
 }
 
 func (c *Calls) enterWithin(
-	ctx context.Context, start time.Time, p plan, request *hemlockcall.Request,
+	ctx context.Context, start time.Time, p plan, request *hemlockcall.Request, from Credentials,
 ) (*hemlockcall.Response, error) {
 	body, err := readBody(request.Body, request.Length, p.rule.MaxBody, c.budget)
 	if err != nil {
 		return nil, err
 	}
 	request.Fingerprint = fingerprint(request, body.prefix)
-	customer := request.Context.Customer
-	if !c.repeats.Allow(start, customer, request.Fingerprint) {
+	sender, print := from.sender(request.Context.Customer), repeatPrint(request)
+	if !c.repeats.Allow(start, sender, print) {
 		body.close()
 		c.metrics.repeats.Inc(1)
 		return nil, hemlockcall.Refuse(hemlockcall.ReasonRepeats, "this request was repeated too often").
-			WithRetryAfter(c.repeats.RetryAfter(start, customer, request.Fingerprint))
+			WithRetryAfter(c.repeats.RetryAfter(start, sender, print))
 	}
 	response, err := c.invoke(ctx, p, request, body)
-	c.recordRepeat(customer, request.Fingerprint, err)
+	c.recordRepeat(sender, print, err)
 	return response, err
 }
 
-func (c *Calls) recordRepeat(customer string, print uint64, err error) {
+// sender identifies whose repeats are counted together: the customer, or the host of an unknown caller.
+func (c Credentials) sender(customer string) string {
+	if customer != "" {
+		return "customer " + customer
+	}
+	return "host " + c.Host
+}
+
+// repeatPrint identifies the repeats of one request. A new idempotency key makes a new request: two orders with equal
+// content are two orders.
+func repeatPrint(request *hemlockcall.Request) uint64 {
+	if !request.Once {
+		return request.Fingerprint
+	}
+	return request.Fingerprint ^ xxhash.Sum64String(request.Header.Get(headerIdempotencyKey))
+}
+
+func (c *Calls) recordRepeat(sender string, print uint64, err error) {
 	if err == nil {
-		c.repeats.Succeeded(customer, print)
+		c.repeats.Succeeded(sender, print)
 		return
 	}
 	now := time.Now()
 	refusal := hemlockcall.AsRefusal(err)
 	if refusal.Verdict == hemlockcall.NotRun && refusal.RetryAfter > 0 {
-		c.repeats.Refused(now, customer, print, refusal.RetryAfter)
+		c.repeats.Refused(now, sender, print, refusal.RetryAfter)
 		return
 	}
-	c.repeats.Failed(now, customer, print)
+	c.repeats.Failed(now, sender, print)
 }
 
 // invoke carries out a prepared call and gives the memory of its body back.
--- a/hemlocknode/dispatch.go
+++ b/hemlocknode/dispatch.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockerror"
 	"hemlockhollow/hemlockmember"
@@ -91,7 +93,7 @@
 		response, err = collect(response)
 	}
 	if err != nil {
-		return nil, d.refused(now, a, address, share, hemlockcall.AsRefusal(err))
+		return nil, d.refused(now, address, share, hemlockcall.AsRefusal(err))
 	}
 	return d.answered(now, a, address, share, response), nil
 }
@@ -106,7 +108,7 @@
 
 // endOf returns the refusal as not run of a call whose time is over.
 func endOf(ctx context.Context, detail string) *hemlockcall.Refusal {
-	if context.Cause(ctx) == context.Canceled {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return hemlockcall.Refuse(hemlockcall.ReasonCancelled, "the caller left "+detail)
 	}
 	return hemlockcall.Refuse(hemlockcall.ReasonDeadline, "the time was over "+detail)
@@ -162,7 +164,7 @@
 }
 
 func (d *Dispatcher) refused(
-	start time.Time, a *attempt, address string, share *hemlockretry.Share, refusal *hemlockcall.Refusal,
+	start time.Time, address string, share *hemlockretry.Share, refusal *hemlockcall.Refusal,
 ) *hemlockcall.Refusal {
 	now := time.Now()
 	if refusal.Answered || refusal.Verdict == hemlockcall.NotRun {
--- a/hemlocknode/node.go
+++ b/hemlocknode/node.go
@@ -47,7 +47,7 @@
 	callers, target, peers, operators net.Listener
 }
 
-// Run runs a node until a signal asks it to stop, and then shuts it down gracefully.
+// Run runs a node until the context ends, and then shuts it down gracefully.
 func Run(ctx context.Context, settings Settings) error {
 	if err := settings.Validate(); err != nil {
 		return err
@@ -63,16 +63,14 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	go node.dumpOnSignal(ctx)
 	return node.serve(ctx, sockets)
 }
 
 func (n *Node) openServers() {
 	n.callers = hemlockcaller.New(
-		func(ctx context.Context, r *hemlockcall.Request, customer, token string) (*hemlockcall.Response, error) {
-			return n.calls.Enter(ctx, r, Credentials{Customer: customer, Token: token})
+		func(ctx context.Context, r *hemlockcall.Request, from hemlockcaller.Caller) (*hemlockcall.Response, error) {
+			return n.calls.Enter(ctx, r, Credentials(from))
 		})
 	n.target = hemlocktarget.NewListener(hemlocktarget.Handlers{
 		Announce: n.health.Announce,
--- a/hemlocknode/prepare.go
+++ b/hemlocknode/prepare.go
@@ -1,7 +1,6 @@
 package hemlocknode
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,8 +62,3 @@
 	}
 	return inherited
 }
-
-// isSafeMethod reports whether a second run of the request changes nothing, by RFC 9110.
-func isSafeMethod(method string) bool {
-	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
-}
--- a/hemlocknode/serve.go
+++ b/hemlocknode/serve.go
@@ -189,12 +189,12 @@
 }
 
 func resultOf(refusal *hemlockcall.Refusal) hemlockadmission.Result {
-	switch {
-	case refusal.Reason == hemlockcall.ReasonDeadline:
+	switch refusal.Reason {
+	case hemlockcall.ReasonDeadline:
 		return hemlockadmission.TimedOut
-	case refusal.Reason == hemlockcall.ReasonCancelled || refusal.Reason == hemlockcall.ReasonIncomplete:
+	case hemlockcall.ReasonCancelled, hemlockcall.ReasonIncomplete:
 		return hemlockadmission.Cancelled
-	case refusal.Reason == hemlockcall.ReasonOverload:
+	case hemlockcall.ReasonOverload:
 		return hemlockadmission.Shed
 	}
 	return hemlockadmission.Failed
--- a/hemlocknode/wire.go
+++ b/hemlocknode/wire.go
@@ -42,4 +42,3 @@
 		provideNode,
 	))
 }
-
--- a/hemlockrouting/choice.go
+++ b/hemlockrouting/choice.go
@@ -70,10 +70,11 @@
 	return nil
 }
 
-// mayOverflow spends the bounded share of sheddable calls that may leave a full zone. A zone without ready targets
-// has no such bound: its load is an equal share that the others carry.
-func (t *Table) mayOverflow(_ time.Time, g *group, tried []string) bool {
-	if !slices.ContainsFunc(g.own, func(e *entry) bool { return e.eligible(tried) }) && len(tried) == 0 {
+// mayOverflow spends the bounded share of sheddable calls that may leave a full zone. A zone without healthy targets
+// has no such bound: its load is an equal share that the others carry. A target that has just crashed counts as bad
+// before its death is announced.
+func (t *Table) mayOverflow(_ time.Time, g *group, _ []string) bool {
+	if !slices.ContainsFunc(g.own, func(e *entry) bool { return !e.bad && e.eligible(nil) }) {
 		return true
 	}
 	g.credit = min(g.credit+t.settings.overflowShare, 1+t.settings.overflowShare)
--- a/main.go
+++ b/main.go
@@ -3,19 +3,35 @@
 
 import (
 	"context"
-	"fmt"
+	"net/url"
 	"os"
+	"os/signal"
+	"syscall"
 
+	"hemlockhollow/hemlockcommand"
+	"hemlockhollow/hemlockconfiguration"
 	"hemlockhollow/hemlocknode"
+	"hemlockhollow/hemlockplatform"
 )
 
 func main() {
-	settings, err := hemlocknode.ParseSettings(os.Args[2:], os.LookupEnv)
-	if err == nil {
-		err = hemlocknode.Run(context.Background(), settings)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	command := hemlockcommand.Command{
+		Node:        hemlocknode.Run,
+		Store:       openStore,
+		Environment: os.LookupEnv,
+		Output:      os.Stdout,
+		Errors:      os.Stderr,
 	}
+	code := command.Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
+func openStore(platform string) (hemlockconfiguration.HeadStore, error) {
+	parsed, err := url.Parse(platform)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
+		return nil, err
 	}
+	return hemlocknode.NewHeadStore(hemlockplatform.New(parsed.Host)), nil
 }
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -73,7 +73,7 @@
 	}
 	sending.Wait()
 	running.Wait()
-	collected.summarize()
+	collected.summarise()
 	return collected
 }
 
--- a/standin/load/results.go
+++ b/standin/load/results.go
@@ -74,7 +74,7 @@
 	}
 }
 
-func (r *results) summarize() {
+func (r *results) summarise() {
 	for _, c := range r.Classes {
 		var all []time.Duration
 		for second, latencies := range c.latencies {
