--- a/hemlockmember/exchange.go
+++ b/hemlockmember/exchange.go
@@ -106,7 +106,7 @@
 		if w.temporary {
 			w.since = now
 		}
-		g.sendProbe(address, claim)
+		g.sendProbe(w.kind(), address, claim)
 	}
 }
 
@@ -191,8 +191,8 @@
 // for dead.
 func (g *Gossip) sendRetry(m Member) {
 	if m.State == Dead {
-		g.sendProbe(m.Address, m, g.self)
+		g.sendProbe(Check, m.Address, m, g.self)
 		return
 	}
-	g.sendProbe(m.Address, g.self)
+	g.sendProbe(Check, m.Address, g.self)
 }
--- a/hemlockmember/message.go
+++ b/hemlockmember/message.go
@@ -11,8 +11,11 @@
 
 // The kinds of messages.
 const (
-	// Probe asks the receiver to answer with Ack. Digests holds the digest of the suspects and that of the whole view.
+	// Probe asks a chosen neighbour to answer with Ack. Digests holds the digest of the suspects and that of the whole
+	// view. The receiver watches the sender in return and sends it news.
 	Probe Kind = iota
+	// Check is a probe of any other member. It makes no neighbours: two members that check each other would never stop.
+	Check
 	// Ack answers a Probe. If the views differ, Digests holds the digest of the suspects and those of all buckets.
 	Ack
 	// Ask asks the receiver to probe Subject.
--- a/hemlockmember/probe.go
+++ b/hemlockmember/probe.go
@@ -29,6 +29,13 @@
 	w.since, w.denied = now, false
 }
 
+func (w *watch) kind() Kind {
+	if w.temporary {
+		return Check
+	}
+	return Probe
+}
+
 // watch returns the watch of an address, a new temporary one if there is none.
 func (g *Gossip) watch(now time.Time, address string) *watch {
 	w := g.watches[address]
@@ -122,7 +129,7 @@
 		}
 		if now.Sub(w.lastProbe) >= probeInterval {
 			w.lastProbe = now
-			g.sendProbe(address)
+			g.sendProbe(w.kind(), address)
 		}
 		if len(w.askers) > 0 && now.Sub(w.askedAt) >= helperWait {
 			g.settle(address, w, false)
@@ -212,9 +219,9 @@
 	w.askers = nil
 }
 
-func (g *Gossip) sendProbe(address string, members ...Member) {
+func (g *Gossip) sendProbe(kind Kind, address string, members ...Member) {
 	digests := []uint64{g.suspectDigest(g.lastTick), g.view.sum()}
-	g.send(Message{To: address, Kind: Probe, Digests: digests, Members: members})
+	g.send(Message{To: address, Kind: kind, Digests: digests, Members: members})
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- a/hemlockmember/receive.go
+++ b/hemlockmember/receive.go
@@ -19,8 +19,10 @@
 	g.absorb(now, from, m.Kind == News && g.inOwnZone(from), m.Members)
 	g.absorbSuspects(now, from, m)
 	switch m.Kind {
-	case Probe:
-		g.inbound[from] = now
+	case Probe, Check:
+		if m.Kind == Probe {
+			g.inbound[from] = now
+		}
 		g.acknowledge(now, from, m)
 	case Ack:
 		g.compare(now, from, m)
@@ -118,6 +120,10 @@
 	if sender, ok := g.view.Get(from); ok && sender.State == Dead {
 		ack.Members = []Member{sender.brief()}
 	}
+	if len(m.Members) > 0 {
+		// The sender may not know this node; without a record it cannot choose it as a neighbour.
+		ack.Members = append(ack.Members, g.self)
+	}
 	if len(m.Digests) == 2 && g.budget.has(lowPriority) {
 		suspects := g.suspectDigest(now)
 		if m.Digests[0] != suspects && g.inOwnZone(from) {
@@ -131,7 +137,8 @@
 	g.send(ack)
 }
 
-// assist probes a member for another node and answers later, or at once when the member was heard just now.
+// assist probes a member for another node and answers later. What was heard before the question does not count: it may
+// be older than the asker's own silence and would only delay the detection.
 func (g *Gossip) assist(now time.Time, from, subject string) {
 	if subject == g.self.Address {
 		g.send(Message{To: from, Kind: Answer, Subject: subject, Alive: true})
@@ -143,10 +150,6 @@
 		g.send(Message{To: from, Kind: Answer, Subject: subject})
 		return
 	}
-	if at, ok := g.heard[subject]; ok && now.Sub(at) <= probeInterval {
-		g.send(Message{To: from, Kind: Answer, Subject: subject, Alive: true})
-		return
-	}
 	w := g.watch(now, subject)
 	if len(w.askers) == 0 {
 		w.askedAt = now
@@ -155,7 +158,7 @@
 		w.askers = append(w.askers, from)
 	}
 	w.lastProbe = now
-	g.sendProbe(subject)
+	g.sendProbe(w.kind(), subject)
 }
 
 // hearsay takes the word of a second prober.
--- a/hemlockretry/ledger.go
+++ b/hemlockretry/ledger.go
@@ -80,8 +80,9 @@
 	return s.size
 }
 
-// Return gives back the unused rest that the called node reported, at most the size of the share. Only the first
-// Return counts, so an answer that arrives twice adds nothing. A share that is never returned is forfeited.
+// Return gives back the unused rest that the called node reported. Only the first Return counts, so an answer that
+// arrives twice adds nothing. A report of more than the share is false, and nobody knows how much of the share was
+// spent: the share is forfeited, as is one that is never returned.
 func (s *Share) Return(unused int) {
 	s.ledger.mutex.Lock()
 	defer s.ledger.mutex.Unlock()
@@ -89,8 +90,8 @@
 		return
 	}
 	s.settled = true
-	if !s.ledger.closed {
-		s.ledger.remaining += min(max(unused, 0), s.size)
+	if !s.ledger.closed && unused > 0 && unused <= s.size {
+		s.ledger.remaining += unused
 	}
 }
 
