Add a process harness for the demo and the process-level tests

Cause: the demo and the tests start the same processes.

Change: standin/harness starts platform, nodes, targets and load clients on loopback addresses and reads their state.

--- /dev/null
+++ b/standin/harness/cluster.go
@@ -0,0 +1,192 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Host is one host: a node beside a target.
+type Host struct {
+	// Number is unique in the cluster; the host's addresses are 127.GROUP.NUMBER.1.
+	Number int
+	// Zone is the availability zone; Service is what the target runs.
+	Zone, Service string
+	// TargetArguments are added to the target's command line.
+	TargetArguments []string
+	// NodeArguments are added to the node's command line.
+	NodeArguments []string
+	Node, Target  *Process
+	ip            string
+}
+
+// Callers, Peers, Operators and TargetAddress are the addresses of the host.
+func (h *Host) Callers() string { return h.ip + ":7000" }
+
+// Peers is the address for other nodes.
+func (h *Host) Peers() string { return h.ip + ":7002" }
+
+// Operators is the address for operators.
+func (h *Host) Operators() string { return h.ip + ":7003" }
+
+// TargetAddress is the address that the target listens on.
+func (h *Host) TargetAddress() string { return h.ip + ":7100" }
+
+func (h *Host) local() string { return h.ip + ":7001" }
+
+// Cluster is a platform with hosts in availability zones.
+type Cluster struct {
+	// Hosts are in the order of Add.
+	Hosts    []*Host
+	Platform *Process
+	folder   string
+	group    int
+	client   *http.Client
+}
+
+// New returns a cluster whose programs are in the folder. Clusters with different groups run side by side.
+func New(folder string, group int) *Cluster {
+	return &Cluster{folder: folder, group: group, client: &http.Client{Timeout: 2 * time.Second}}
+}
+
+// PlatformAddress is the address of the platform.
+func (c *Cluster) PlatformAddress() string {
+	return fmt.Sprintf("127.%d.0.1:7070", c.group)
+}
+
+// StartPlatform starts the platform.
+func (c *Cluster) StartPlatform() error {
+	p, err := start(c.folder, "platform", "platform", "--listen", c.PlatformAddress(), "--latency", "2ms")
+	c.Platform = p
+	return err
+}
+
+// Add starts a host.
+func (c *Cluster) Add(h *Host) error {
+	h.Number = len(c.Hosts) + 1
+	h.ip = fmt.Sprintf("127.%d.%d.1", c.group, h.Number)
+	c.Hosts = append(c.Hosts, h)
+	if err := c.StartNode(h); err != nil {
+		return err
+	}
+	return c.StartTarget(h)
+}
+
+// StartNode starts the node of a host, for the first time or again.
+func (c *Cluster) StartNode(h *Host) error {
+	arguments := []string{
+		"node", "--zone", h.Zone, "--callers-address", h.Callers(), "--target-address", h.local(),
+		"--peers-address", h.Peers(), "--operators-address", h.Operators(), "--platform", "http://" + c.PlatformAddress(),
+		"--drain-grace", "500ms",
+	}
+	p, err := start(c.folder, "hemlockhollow", "node "+strconv.Itoa(h.Number), append(arguments, h.NodeArguments...)...)
+	h.Node = p
+	return err
+}
+
+// StartTarget starts the target of a host, for the first time or again.
+func (c *Cluster) StartTarget(h *Host) error {
+	arguments := []string{"--listen", h.TargetAddress(), "--node", h.local(), "--service", h.Service}
+	p, err := start(c.folder, "target", "target "+strconv.Itoa(h.Number), append(arguments, h.TargetArguments...)...)
+	h.Target = p
+	return err
+}
+
+// Stop kills all processes.
+func (c *Cluster) Stop() {
+	for _, p := range c.processes() {
+		p.Kill()
+	}
+}
+
+func (c *Cluster) processes() []*Process {
+	var all []*Process
+	if c.Platform != nil {
+		all = append(all, c.Platform)
+	}
+	for _, h := range c.Hosts {
+		for _, p := range []*Process{h.Node, h.Target} {
+			if p != nil {
+				all = append(all, p)
+			}
+		}
+	}
+	return all
+}
+
+// WriteOutput writes what all processes have printed.
+func (c *Cluster) WriteOutput(w io.Writer) {
+	for _, p := range c.processes() {
+		p.WriteOutput(w)
+	}
+}
+
+// Publish runs the publish command with the files.
+func (c *Cluster) Publish(files ...string) (string, error) {
+	return c.Run("hemlockhollow", append([]string{"publish", "--platform", "http://" + c.PlatformAddress()}, files...)...)
+}
+
+// Run runs a program to its end and returns its output.
+func (c *Cluster) Run(program string, arguments ...string) (string, error) {
+	p, err := start(c.folder, program, program, arguments...)
+	if err != nil {
+		return "", err
+	}
+	code, err := p.Wait(2 * time.Minute)
+	if err == nil && code != 0 {
+		err = errors.Errorf("%s ended with code %d: %s", program, code, p.Output())
+	}
+	return p.Output(), err
+}
+
+// Load starts the load client at the given entry hosts.
+func (c *Cluster) Load(entries []*Host, arguments ...string) (*Process, error) {
+	addresses := make([]string, 0, len(entries))
+	for _, h := range entries {
+		addresses = append(addresses, h.Callers())
+	}
+	return start(c.folder, "load", "load", append([]string{"--entries", strings.Join(addresses, ",")}, arguments...)...)
+}
+
+// Faults sets the faults of the platform, as JSON.
+func (c *Cluster) Faults(faults string) error {
+	response, err := c.client.Post("http://"+c.PlatformAddress()+"/admin/faults", "application/json", bytes.NewBufferString(faults))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest {
+		return errors.Errorf("faults %s: status %d", faults, response.StatusCode)
+	}
+	return nil
+}
+
+// Get decodes the JSON at a URL.
+func (c *Cluster) Get(url string, into any) error {
+	response, err := c.client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+// Pause stops the processes of a host without ending them; Resume lets them go on.
+func (h *Host) Pause() {
+	h.Node.Signal(syscall.SIGSTOP)
+	h.Target.Signal(syscall.SIGSTOP)
+}
+
+// Resume lets paused processes go on.
+func (h *Host) Resume() {
+	h.Node.Signal(syscall.SIGCONT)
+	h.Target.Signal(syscall.SIGCONT)
+}
--- /dev/null
+++ b/standin/harness/observe.go
@@ -0,0 +1,129 @@
+package harness
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// State is the part of a node's state dump that the demo and the tests look at.
+type State struct {
+	Configuration struct {
+		Version uint64 `json:"version"`
+	} `json:"configuration"`
+	Target struct {
+		State string `json:"state"`
+	} `json:"target"`
+	Admission struct {
+		InFlight int `json:"in-flight"`
+		Queued   int `json:"queued"`
+		Limit    int `json:"limit"`
+	} `json:"admission"`
+	Members []Member `json:"members"`
+}
+
+// Member is one member in a node's view.
+type Member struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Service string `json:"service"`
+	State   string `json:"state"`
+}
+
+// State returns the state of a host's node.
+func (c *Cluster) State(h *Host) (State, error) {
+	var state State
+	err := c.Get("http://"+h.Operators()+"/state", &state)
+	return state, err
+}
+
+// Runs returns how often the host's target has run each idempotency key.
+func (c *Cluster) Runs(h *Host) (map[string]int, error) {
+	runs := map[string]int{}
+	err := c.Get("http://"+h.TargetAddress()+"/log/runs", &runs)
+	return runs, err
+}
+
+// Counters returns the counters of a host's target.
+func (c *Cluster) Counters(h *Host) (map[string]int64, error) {
+	counters := map[string]int64{}
+	err := c.Get("http://"+h.TargetAddress()+"/log/counters", &counters)
+	return counters, err
+}
+
+// Eventually waits until the condition holds; it returns what the condition last complained about.
+func Eventually(limit time.Duration, condition func() error) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := condition()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Wrapf(err, "not within %s", limit)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// AwaitReady waits until the given hosts know each other as ready and have at least the configuration version.
+func (c *Cluster) AwaitReady(limit time.Duration, version uint64, hosts ...*Host) error {
+	return Eventually(limit, func() error {
+		for _, h := range hosts {
+			state, err := c.State(h)
+			if err != nil {
+				return err
+			}
+			if state.Configuration.Version < version {
+				return errors.Errorf("node %d has configuration %d, not %d", h.Number, state.Configuration.Version, version)
+			}
+			if err := knows(state, hosts); err != nil {
+				return errors.Wrapf(err, "node %d", h.Number)
+			}
+		}
+		return nil
+	})
+}
+
+func knows(state State, hosts []*Host) error {
+	ready := map[string]bool{}
+	for _, m := range state.Members {
+		ready[m.Address] = m.State == "ready"
+	}
+	for _, h := range hosts {
+		if !ready[h.Peers()] {
+			return errors.Errorf("does not see node %d as ready", h.Number)
+		}
+	}
+	return nil
+}
+
+// LoadResults is the summary that the load client prints.
+type LoadResults struct {
+	Classes []ClassResult `json:"classes"`
+}
+
+// ClassResult is the summary of one class of requests.
+type ClassResult struct {
+	Name       string         `json:"name"`
+	Sent       int            `json:"sent"`
+	Attempts   int            `json:"attempts"`
+	Ends       map[string]int `json:"ends"`
+	P50        float64        `json:"p50-ms"`
+	P99        float64        `json:"p99-ms"`
+	Offered    []int          `json:"offered"`
+	Whole      []int          `json:"whole"`
+	WholeKeys  []string       `json:"whole-keys"`
+	NotRunKeys []string       `json:"not-run-keys"`
+}
+
+// Results waits for the end of a load client and returns its summary.
+func Results(load *Process, limit time.Duration) (LoadResults, error) {
+	var results LoadResults
+	if _, err := load.Wait(limit); err != nil {
+		return results, err
+	}
+	err := json.Unmarshal([]byte(load.Output()), &results)
+	return results, errors.Wrapf(err, "results %.200q", load.Output())
+}
--- /dev/null
+++ b/standin/harness/process.go
@@ -0,0 +1,113 @@
+// Package harness starts the product and the stand-ins as processes on loopback addresses, for the demo and for tests.
+package harness
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const killWait = 5 * time.Second
+
+// Process is one started program.
+type Process struct {
+	// Name is the program with the host it runs on, for messages.
+	Name    string
+	command *exec.Cmd
+	output  *lockedBuffer
+	done    chan struct{}
+	err     error
+}
+
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+// start runs a program of the folder with the arguments.
+func start(folder, program, name string, arguments ...string) (*Process, error) {
+	p := &Process{Name: name, output: &lockedBuffer{}, done: make(chan struct{})}
+	p.command = exec.Command(filepath.Join(folder, program), arguments...)
+	p.command.Stdout, p.command.Stderr = p.output, p.output
+	p.command.Env = append(os.Environ(), "GOTRACEBACK=all")
+	// The processes end with this one, also when it is killed.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.command.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	go func() {
+		p.err = p.command.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Signal sends a signal; a process that has ended is no error.
+func (p *Process) Signal(s syscall.Signal) {
+	_ = p.command.Process.Signal(s)
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGKILL)
+	select {
+	case <-p.done:
+	case <-time.After(killWait):
+	}
+}
+
+// Ended reports whether the process has ended, and its exit code.
+func (p *Process) Ended() (code int, ended bool) {
+	select {
+	case <-p.done:
+		return p.command.ProcessState.ExitCode(), true
+	default:
+		return 0, false
+	}
+}
+
+// Wait waits for the end of the process, at most the limit, and returns its exit code.
+func (p *Process) Wait(limit time.Duration) (int, error) {
+	select {
+	case <-p.done:
+		return p.command.ProcessState.ExitCode(), nil
+	case <-time.After(limit):
+		return -1, errors.Errorf("%s did not end within %s", p.Name, limit)
+	}
+}
+
+// PID returns the process id, for measurements.
+func (p *Process) PID() int {
+	return p.command.Process.Pid
+}
+
+// Output returns what the process has printed so far.
+func (p *Process) Output() string {
+	return p.output.String()
+}
+
+// WriteOutput writes what the process has printed, for the diagnosis of a failure.
+func (p *Process) WriteOutput(w io.Writer) {
+	_, _ = io.WriteString(w, "--- "+p.Name+"\n"+p.Output())
+}
