--- a/hemlockcommand/command_test.go
+++ b/hemlockcommand/command_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockconfiguration"
 )
 
@@ -126,3 +128,27 @@
 		}
 	})
 }
+
+// Guards against an example that no longer passes the check or that lets an order run twice.
+func TestExamples(t *testing.T) {
+	for house, services := range map[string]int{"kilwa": 4, "habi-tahanan": 4} {
+		names, err := filepath.Glob("../examples/" + house + "/*.hcl")
+		if err != nil || len(names) != services {
+			t.Fatalf("%s has the files %v, %v", house, names, err)
+		}
+		files, err := readFiles("check", names, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		parsed, problems := hemlockconfiguration.Check(files)
+		if len(problems) > 0 {
+			t.Fatal(problems)
+		}
+		for _, s := range parsed {
+			class, ok := s.Match(http.MethodPost, "/orders")
+			if s.Name == "orders" && (!ok || !class.Once || class.Priority != hemlockcall.Critical) {
+				t.Errorf("%s: a booking is %+v, %v", house, class, ok)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/hemlockconfiguration/encoding_test.go
@@ -0,0 +1,133 @@
+package hemlockconfiguration
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hemlockhollow/hemlockservice"
+)
+
+// sample returns the configuration after the given number of publishes.
+func sample(publishes int) Configuration {
+	var c Configuration
+	for i := range publishes {
+		name := string(rune('a' + i%3))
+		s, _ := hemlockservice.Parse("x.hcl", serviceFile(name, i+1).Text)
+		change := &s
+		if i%7 == 6 {
+			change = nil
+		}
+		c = c.next(map[string]*hemlockservice.Service{name: change}, "n"+strings.Repeat("x", i%3))
+	}
+	return c
+}
+
+func compress(text []byte) []byte {
+	var body bytes.Buffer
+	w := gzip.NewWriter(&body)
+	_, _ = w.Write(text)
+	_ = w.Close()
+	return body.Bytes()
+}
+
+func assertCorrupt(t *testing.T, what string, body []byte, message string) {
+	t.Helper()
+	_, err := Decode(body)
+	if err == nil || !strings.Contains(err.Error(), message) {
+		t.Errorf("%s: error is %v, want %q", what, err, message)
+	}
+	assertKind(t, err, KindCorrupt)
+}
+
+// Guards against a part of a configuration that is lost on the way through the store.
+func TestDecodeReturnsWhatWasEncoded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := sample(rapid.IntRange(1, 3*history/2).Draw(t, "publishes"))
+		d, err := Decode(Encode(c))
+		if err != nil || !reflect.DeepEqual(c, d) {
+			t.Fatalf("decoded %+v, %v", d, err)
+		}
+	})
+}
+
+// Guards against a damaged body that is taken for a configuration.
+func TestDecodeRefusesDamage(t *testing.T) {
+	body := Encode(sample(5))
+	for n := range body {
+		_, err := Decode(body[:n])
+		assertKind(t, err, KindCorrupt)
+	}
+	assertCorrupt(t, "truncated", body[:len(body)-9], "body is truncated")
+	assertCorrupt(t, "bomb", compress(make([]byte, maxDecoded+1)), "expands to more than 8388608 bytes")
+	assertCorrupt(t, "oversize", make([]byte, maxEncoded+1), "allowed are 4194304")
+
+	text, _ := decompress(body)
+	replaced := func(from, to string) []byte { return compress(bytes.Replace(text, []byte(from), []byte(to), 1)) }
+	assertCorrupt(t, "changed", replaced(`"slots":5,`, `"slots":2,`), "digest of the content")
+	assertCorrupt(t, "newer", replaced(`"format":1`, `"format":2`), "format 2 is unknown; this program reads format 1")
+	assertCorrupt(t, "trailing", compress(append(text, '1')), "data behind the content")
+
+	redone := func(from, to string) []byte {
+		inner := bytes.Replace(sample(5).canonical(), []byte(from), []byte(to), 1)
+		e, _ := json.Marshal(envelope{Format: format, Digest: digestOf(inner), Content: inner})
+		return compress(e)
+	}
+	assertCorrupt(t, "version", redone(`"version":5`, `"version":4`), "after version 4")
+	assertCorrupt(t, "range", redone(`"slots":5,`, `"slots":0,`), "slots is 0")
+	assertCorrupt(t, "key", redone(`"slots":5,`, `"slots":5,"x":1,`), "unknown field")
+	assertCorrupt(t, "twice", redone(`"slots":5,`, `"slots":5,"slots":5,`), "canonical form")
+	assertCorrupt(t, "nonce", redone(`"nonce":"n"`, `"nonce":""`), "nonce 0")
+}
+
+// Guards against input that makes the decoder fail in another way than by an error.
+func FuzzDecode(f *testing.F) {
+	for _, n := range []int{0, 1, 5} {
+		text, _ := decompress(Encode(sample(n)))
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		// The fuzzer cannot make valid gzip bodies, so it gets both ways in.
+		_, _ = Decode(text)
+		c, err := Decode(compress(text))
+		if err != nil {
+			return
+		}
+		if d, err := Decode(Encode(c)); err != nil || !reflect.DeepEqual(c, d) {
+			t.Errorf("decoded again %+v, %v", d, err)
+		}
+	})
+}
+
+// Guards against a node that goes back to an older version, or that misses a change.
+func TestHolderOnlyRises(t *testing.T) {
+	h := NewHolder()
+	s := h.Subscribe()
+	var group sync.WaitGroup
+	for start := range 8 {
+		group.Go(func() {
+			for v := start; v < 1000; v += 8 {
+				h.Take(Configuration{Version: uint64(v)})
+				if current := h.Current().Version; current < uint64(v) {
+					t.Errorf("version %d is in force after version %d was taken", current, v)
+				}
+			}
+		})
+	}
+	group.Wait()
+	<-s.Changes
+	if h.Current().Version != 999 || h.Take(Configuration{Version: 999}) || h.Take(Configuration{Version: 3}) {
+		t.Errorf("version %d is in force", h.Current().Version)
+	}
+	s.Close()
+	s.Close()
+	if h.Take(Configuration{Version: 1000}); len(s.Changes) != 0 {
+		t.Error("a closed subscription was signalled")
+	}
+}
