Check defective and truncated messages between nodes

Change: tests send frames that are crossed, lost, changed, duplicated, over-long or oversize, to the client and to the server; a failure that has ended a call is passed on unchanged.

Conclusion: all of them are refused and counted, and the connection is closed.

--- a/hemlockpeer/call.go
+++ b/hemlockpeer/call.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockerror"
 	"hemlockhollow/hemlockpeer/hemlockwire"
@@ -212,8 +214,9 @@
 
 // fail ends a call without answer and says what is known about its outcome.
 func (c *call) fail(err error) *hemlockcall.Refusal {
-	refusal := hemlockcall.AsRefusal(err)
-	if refusal.Answered {
+	var refusal *hemlockcall.Refusal
+	if errors.As(err, &refusal) {
+		// The peer's own refusal, or a failure that has ended the call already.
 		return refusal
 	}
 	reason := contextReason(c.ctx, hemlockcall.ReasonConnection)
--- /dev/null
+++ b/hemlockpeer/frames_test.go
@@ -0,0 +1,157 @@
+package hemlockpeer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/uber-go/tally/v4"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockpeer/hemlockwire"
+)
+
+// defects change the frames of a correct message of three body parts into one that must not be taken for whole.
+var defects = map[string]func(f []*hemlockwire.Frame) []*hemlockwire.Frame{
+	"crossed": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		for _, frame := range f[1:] {
+			frame.CallId++
+		}
+		return f
+	},
+	"duplicated part": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		return []*hemlockwire.Frame{f[0], f[1], f[1], f[3], f[4]}
+	},
+	"swapped parts": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		return []*hemlockwire.Frame{f[0], f[2], f[1], f[3], f[4]}
+	},
+	"lost part": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		f[3].Sequence, f[4].Sequence = f[2].Sequence, f[3].Sequence
+		f[4].End.Checksum = 0
+		return []*hemlockwire.Frame{f[0], f[1], f[3], f[4]}
+	},
+	"changed byte": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		f[2].Body[5] ^= 1
+		return f
+	},
+	"checksum of the whole": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		f[4].End.Checksum ^= 1
+		return f
+	},
+	"length of the whole": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		f[4].End.Length--
+		return f
+	},
+	"over-long": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		writer := &frameWriter{stream: &recorder{}, call: f[0].GetCallId()}
+		_ = writer.send(f[0])
+		for _, part := range [][]byte{f[1].GetBody(), f[2].GetBody(), f[3].GetBody(), []byte("more")} {
+			_ = writer.body(part)
+		}
+		_ = writer.end(nil)
+		return writer.stream.(*recorder).frames
+	},
+	"frame after the end": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		return append(f, &hemlockwire.Frame{CallId: f[0].GetCallId(), Sequence: 5, End: f[4].GetEnd()})
+	},
+	"second head": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		f[2].Body, f[2].Checksum, f[2].Response = nil, 0, &hemlockwire.ResponseHead{Status: 200}
+		return f
+	},
+	"oversize part": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		whole := bytes.Join([][]byte{f[1].GetBody(), f[2].GetBody(), f[3].GetBody()}, nil)
+		writer := &frameWriter{stream: &recorder{}, call: f[0].GetCallId()}
+		_ = writer.send(f[0])
+		_ = writer.body(whole)
+		_ = writer.end(nil)
+		return writer.stream.(*recorder).frames
+	},
+	"oversize header": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		large := []*hemlockwire.Header{{Name: "X", Values: []string{strings.Repeat("x", maximumHeaderBytes)}}}
+		if head := f[0].GetRequest(); head != nil {
+			head.Headers = large
+		} else {
+			f[0].Response.Headers = large
+		}
+		return f
+	},
+}
+
+// Guards against a peer's answer that is crossed, truncated, over-long, duplicated or changed and yet reaches the
+// caller as complete, and against the reuse of the connection that it came on.
+func TestDefectiveAnswers(t *testing.T) {
+	body := pattern(1, 2*chunkSize+1000)
+	for name, defect := range defects {
+		for kind, length := range map[string]int64{"bounded": int64(len(body)), "streamed": -1} {
+			if name == "over-long" && length < 0 {
+				continue // Without a declared length no length is over-long.
+			}
+			t.Run(name+" "+kind, func(t *testing.T) {
+				address := startFakePeer(t, func(stream hemlockwire.DRPCNode_CallStream, call uint64) error {
+					return sendAll(stream, defect(answerFrames(call, bytes.Clone(body), length)))
+				})
+				scope := tally.NewTestScope("", nil)
+				client := startClient(t, WithScope(scope))
+				refusedAs(t, readWhole(client, address), hemlockcall.Unknown, hemlockcall.ReasonConnection)
+				equal(t, "violations", violations(scope), 1)
+				_, reusable := client.pool.idle.Take(address)
+				equal(t, "connection kept", reusable, false)
+			})
+		}
+	}
+}
+
+// readWhole calls the peer and reads the answer; nil means that the caller takes the answer for complete.
+func readWhole(client *Client, address string) error {
+	response, err := client.To(address).Invoke(context.Background(), newRequest(nil, 0))
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// Guards against an answer that was cut off by the end of the stream or of the connection and counts as complete.
+func TestTruncatedAnswers(t *testing.T) {
+	body := pattern(1, boundedBody+chunkSize)
+	for kind, length := range map[string]int64{"bounded": boundedBody, "long": int64(len(body)), "unknown": -1} {
+		for _, frames := range []int{0, 1, 2, 10} {
+			t.Run(kind, func(t *testing.T) {
+				address := startFakePeer(t, func(stream hemlockwire.DRPCNode_CallStream, call uint64) error {
+					return sendAll(stream, answerFrames(call, body, length)[:frames])
+				})
+				refusedAs(t, readWhole(startClient(t), address), hemlockcall.Unknown, hemlockcall.ReasonConnection)
+			})
+		}
+	}
+}
+
+// Guards against a defective request that a handler takes for whole, which would run a part or another request.
+func TestDefectiveRequests(t *testing.T) {
+	body := pattern(1, 2*chunkSize+1000)
+	for name, defect := range defects {
+		t.Run(name, func(t *testing.T) {
+			scope := tally.NewTestScope("", nil)
+			taken := make(chan error, 1)
+			_, address := startServer(t, invokerFunc(func(_ context.Context, r *hemlockcall.Request) (*hemlockcall.Response, error) {
+				_, err := io.Copy(io.Discard, r.Body)
+				taken <- err
+				return newResponse(nil, 0), nil
+			}), WithScope(scope))
+			connection, stream := openRaw(t, address)
+			_ = sendAll(stream, defect(requestFrames(9, bytes.Clone(body), int64(len(body)))))
+			_ = stream.CloseSend()
+			receive(t, "closing of the connection", connection.Closed())
+			equal(t, "violations", violations(scope), 1)
+			select {
+			case err := <-taken:
+				if err == nil {
+					t.Fatal("the handler took the request for whole")
+				}
+			default:
+			}
+		})
+	}
+}
