Test verdicts and shutdown of the peer protocol

Change: a leaving node ends each stream with an error after the answer, so that the caller's pool drops the connection. Tests cover unopened connections, full pools, failed writes, cuts, cancel, deadline, broken uploads and early answers.

Ruled out: half-closing idle connections, because a call already on the way could then not be answered.

--- a/hemlockpeer/call_test.go
+++ b/hemlockpeer/call_test.go
@@ -30,12 +30,28 @@
 
 func checkEcho(t testing.TB, response *hemlockcall.Response, id string, body []byte) {
 	t.Helper()
+	noError(t, echoError(response, id, body))
+}
+
+// echoError says how an answer differs from the one that belongs to the request.
+func echoError(response *hemlockcall.Response, id string, body []byte) error {
 	got, err := io.ReadAll(response.Body)
-	noError(t, err)
-	noError(t, response.Body.Close())
-	equal(t, "id", response.Header.Get("X-Id"), id)
-	equal(t, "digest that the handler saw", response.Header.Get("X-Digest"), digest(body))
-	equal(t, "digest that came back", digest(got), digest(body))
+	if err == nil {
+		err = response.Body.Close()
+	}
+	if err != nil {
+		return err
+	}
+	for what, pair := range map[string][2]string{
+		"id":                          {response.Header.Get("X-Id"), id},
+		"digest that the handler saw": {response.Header.Get("X-Digest"), digest(body)},
+		"digest of the body received": {digest(got), digest(body)},
+	} {
+		if pair[0] != pair[1] {
+			return fmt.Errorf("%s: got %s, want %s", what, pair[0], pair[1])
+		}
+	}
+	return nil
 }
 
 // Guards against crossed answers: every one of thousands of concurrent calls gets the answer with its own id and
@@ -54,11 +70,13 @@
 				request := newRequest(bytes.NewReader(body), int64(len(body)))
 				request.Header.Set("X-Id", fmt.Sprint(id))
 				response, err := client.To(address).Invoke(context.Background(), request)
+				if err == nil {
+					err = echoError(response, fmt.Sprint(id), body)
+				}
 				if err != nil {
 					t.Errorf("call %d: %v", id, err)
 					return
 				}
-				checkEcho(t, response, fmt.Sprint(id), body)
 			}
 		})
 	}
@@ -79,9 +97,12 @@
 					for range work {
 						request := newRequest(bytes.NewReader(body), int64(len(body)))
 						response, err := client.To(address).Invoke(context.Background(), request)
-						noError(b, err)
-						_, err = io.Copy(io.Discard, response.Body)
-						noError(b, err)
+						if err == nil {
+							_, err = io.Copy(io.Discard, response.Body)
+						}
+						if err != nil {
+							b.Error(err)
+						}
 					}
 				})
 			}
--- a/hemlockpeer/server.go
+++ b/hemlockpeer/server.go
@@ -154,6 +154,12 @@
 	return true
 }
 
+func (s *Server) leaving() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.draining
+}
+
 func (s *Server) done() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/hemlockpeer/service.go
+++ b/hemlockpeer/service.go
@@ -81,9 +81,8 @@
 	body   *requestBody
 }
 
-// errEarly ends the stream of a call that was answered before its request had been read; the caller's node closes
-// the connection.
-var errEarly = hemlockerror.New("call", KindBody, "answered before the end of the request")
+// errEarly ends the stream after an answer whose connection may not be used again.
+var errEarly = hemlockerror.New("call", KindClosed, "the connection may not be used again")
 
 func (c *servedCall) serve() error {
 	c.reader = &frameReader{stream: c.stream, learn: true}
@@ -138,16 +137,19 @@
 	return c.settle()
 }
 
-// settle decides whether the connection can be used again: only when the whole request was read and checked.
+// settle decides whether the connection can be used again: only when the whole request was read and checked, and the
+// node is not leaving. The caller's node closes a connection whose stream ends with an error, so that it does not
+// send a call on a connection that a leaving node is about to close.
 func (c *servedCall) settle() error {
-	if c.body != nil {
-		if whole, err := c.body.whole(); !whole {
-			if isViolation(err) {
-				return err
-			}
-			return c.early()
-		}
+	if c.body == nil || c.server.leaving() {
+		return c.early()
+	}
+	whole, err := c.body.whole()
+	switch {
+	case whole:
 		return nil
+	case isViolation(err):
+		return err
 	}
 	return c.early()
 }
--- /dev/null
+++ b/hemlockpeer/shutdown_test.go
@@ -0,0 +1,69 @@
+package hemlockpeer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+// Guards against a planned stop that interrupts a call in flight or runs a new one.
+func TestShutdownFinishesCallsInFlight(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	server, address := startServer(t, invokerFunc(func(context.Context, *hemlockcall.Request) (*hemlockcall.Response, error) {
+		close(started)
+		<-finish
+		return newResponse([]byte("done"), 4), nil
+	}), WithLinger(10*time.Millisecond))
+	client, ended, stopped := startClient(t), make(chan error, 1), make(chan error, 1)
+	go func() { ended <- readWhole(client, address) }()
+	receive(t, "start of the call", started)
+	server.Drain()
+	_, err := client.To(address).Invoke(context.Background(), newRequest(nil, 0))
+	refusedAs(t, err, hemlockcall.NotRun, hemlockcall.ReasonLeaving)
+	go func() { stopped <- server.Shutdown(context.Background()) }()
+	close(finish)
+	noError(t, receive(t, "end of the call", ended))
+	noError(t, receive(t, "shutdown", stopped))
+	_, err = client.To(address).Invoke(context.Background(), newRequest(nil, 0))
+	refusedAs(t, err, hemlockcall.NotRun, hemlockcall.ReasonConnection)
+}
+
+// Guards against control messages that lose content, and against their waiting behind slow calls.
+func TestControlMessages(t *testing.T) {
+	blocked := make(chan struct{})
+	_, address := startServer(t, invokerFunc(func(ctx context.Context, _ *hemlockcall.Request) (*hemlockcall.Response, error) {
+		close(blocked)
+		<-ctx.Done()
+		return nil, hemlockcall.Doubt(hemlockcall.ReasonCancelled, "")
+	}), WithExchange(func(_ context.Context, m GossipMessage) (GossipMessage, error) {
+		m.Kind++
+		return m, nil
+	}), WithConfiguration(func(_ context.Context, newerThan uint64) (uint64, []byte, error) {
+		return newerThan + 1, []byte("configuration"), nil
+	}), WithClaim(func(_ context.Context, changes []ClaimChange) ([]bool, error) {
+		return []bool{changes[0].Key == "k", changes[1].Version == 3}, nil
+	}))
+	client := startClient(t, WithConnections(1))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _, _ = client.To(address).Invoke(ctx, newRequest(nil, 0)) }()
+	receive(t, "start of the slow call", blocked)
+	reply, err := client.Exchange(ctx, address, GossipMessage{
+		Kind: 1, Members: []GossipMember{{Address: "a", Incarnation: 4}},
+		Suspects: []GossipSuspect{{Fingerprint: 5, Age: time.Second, Origin: "b", Crash: 6}},
+	})
+	noError(t, err)
+	equal(t, "kind", reply.Kind, 2)
+	equal(t, "member", reply.Members[0], GossipMember{Address: "a", Incarnation: 4})
+	equal(t, "suspect", reply.Suspects[0], GossipSuspect{Fingerprint: 5, Age: time.Second, Origin: "b", Crash: 6})
+	version, body, err := client.FetchConfiguration(ctx, address, 7)
+	noError(t, err)
+	equal(t, "configuration", string(body), "configuration")
+	equal(t, "version", version, 8)
+	applied, err := client.Claim(ctx, address, []ClaimChange{{Key: "k"}, {Key: "l", Version: 2, Row: []byte("r")}})
+	noError(t, err)
+	equal(t, "first change", applied[0], true)
+	equal(t, "second change", applied[1], false)
+}
--- /dev/null
+++ b/hemlockpeer/verdict_test.go
@@ -0,0 +1,214 @@
+package hemlockpeer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcctx"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockpeer/hemlockwire"
+)
+
+// Guards against a call that never reached the peer and is reported as in doubt, so that an order could not be sent
+// elsewhere.
+func TestUnopenedConnectionIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	noError(t, err)
+	noError(t, listener.Close())
+	_, err = startClient(t).To(listener.Addr().String()).Invoke(context.Background(), newRequest(nil, 0))
+	refusedAs(t, err, hemlockcall.NotRun, hemlockcall.ReasonConnection)
+}
+
+// Guards against a write that fails before its first byte and is reported as in doubt, and against one that fails
+// after it and is reported as not run.
+func TestWriteFailureVerdict(t *testing.T) {
+	for name, verdict := range map[string]hemlockcall.Verdict{"before": hemlockcall.NotRun, "after": hemlockcall.Unknown} {
+		t.Run(name, func(t *testing.T) {
+			_, address := startServer(t, invokerFunc(echoDigest))
+			client := startClient(t, WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+				opened, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return &brokenWriter{Conn: opened}, err
+			}))
+			taken, err := client.pool.take(context.Background(), address)
+			noError(t, err)
+			if verdict == hemlockcall.NotRun {
+				equal(t, "sealed", taken.transport.Seal(taken.transport.Mark()), true)
+			}
+			call := newTestCall(client, address, taken)
+			request := newRequest(nil, 0)
+			head, err := encodeRequest(request, time.Second)
+			noError(t, err)
+			_, err = call.start(request, head)
+			refusedAs(t, err, verdict, hemlockcall.ReasonConnection)
+		})
+	}
+}
+
+func newTestCall(client *Client, address string, taken *connection) *call {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	return &call{
+		client: client, address: address, connection: taken, free: func() {}, ctx: ctx, cancel: cancel,
+		mark: taken.transport.Mark(),
+	}
+}
+
+// brokenWriter loses its peer while it writes.
+type brokenWriter struct {
+	net.Conn
+}
+
+func (w *brokenWriter) Write(data []byte) (int, error) {
+	count, _ := w.Conn.Write(data[:1])
+	return count, errors.New("connection lost")
+}
+
+// Guards against a wait for a pool place without bound, and against its being reported as in doubt.
+func TestFullPoolIsNotRun(t *testing.T) {
+	started := make(chan struct{})
+	_, address := startServer(t, invokerFunc(func(ctx context.Context, _ *hemlockcall.Request) (*hemlockcall.Response, error) {
+		close(started)
+		<-ctx.Done()
+		return nil, hemlockcall.Doubt(hemlockcall.ReasonCancelled, "")
+	}))
+	client := startClient(t, WithConnections(1), WithPoolWait(time.Millisecond))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := client.To(address).Invoke(ctx, newRequest(nil, 0))
+		ended <- err
+	}()
+	receive(t, "start of the first call", started)
+	_, err := client.To(address).Invoke(context.Background(), newRequest(nil, 0))
+	refusedAs(t, err, hemlockcall.NotRun, hemlockcall.ReasonUnavailable)
+	cancel()
+	refusedAs(t, receive(t, "end of the first call", ended), hemlockcall.Unknown, hemlockcall.ReasonCancelled)
+}
+
+// Guards against a refusal of the peer whose verdict, reason or advice changes on the way, and against a peer that
+// credits more retries than the call brought.
+func TestPeerRefusalIsPassedOn(t *testing.T) {
+	sent := hemlockcall.Refuse(hemlockcall.ReasonOverload, "full").WithRetryAfter(time.Second).
+		WithFeedback(hemlockcall.Feedback{Retries: 99, Level: hemlockcall.Critical})
+	_, address := startServer(t, invokerFunc(func(context.Context, *hemlockcall.Request) (*hemlockcall.Response, error) {
+		return nil, sent
+	}))
+	client := startClient(t)
+	_, err := client.To(address).Invoke(context.Background(), newRequest(nil, 0))
+	refusedAs(t, err, hemlockcall.NotRun, hemlockcall.ReasonOverload)
+	got := hemlockcall.AsRefusal(err)
+	equal(t, "advice", got.RetryAfter, time.Second)
+	equal(t, "answered", got.Answered, true)
+	equal(t, "retries", got.Feedback.Retries, 2)
+	_, reusable := client.pool.idle.Take(address)
+	equal(t, "connection kept", reusable, true)
+}
+
+// Guards against "not run" for a request that the peer has received when its connection breaks.
+func TestPeerCutAfterRequestIsUnknown(t *testing.T) {
+	address := startFakePeer(t, func(stream hemlockwire.DRPCNode_CallStream, _ uint64) error {
+		transport, _ := drpcctx.Transport(stream.Context())
+		return transport.Close()
+	})
+	_, err := startClient(t).To(address).Invoke(context.Background(), newRequest(nil, 0))
+	refusedAs(t, err, hemlockcall.Unknown, hemlockcall.ReasonConnection)
+}
+
+// Guards against a connection that is used again after a cancelled or timed-out call, on which a late answer could
+// reach another caller, and against a handler that is not cancelled.
+func TestConnectionIsNotReusedAfterCancel(t *testing.T) {
+	for name, reason := range map[string]hemlockcall.Reason{
+		"cancel": hemlockcall.ReasonCancelled, "deadline": hemlockcall.ReasonDeadline,
+	} {
+		t.Run(name, func(t *testing.T) {
+			started, cancelled := make(chan struct{}, 1), make(chan struct{}, 1)
+			_, address := startServer(t, invokerFunc(func(ctx context.Context, r *hemlockcall.Request) (*hemlockcall.Response, error) {
+				if r.Header.Get("X-Id") != "late" {
+					return echoDigest(ctx, r)
+				}
+				started <- struct{}{}
+				<-ctx.Done()
+				cancelled <- struct{}{}
+				// The answer comes late, after the caller has given up.
+				return newResponse([]byte("late"), 4), nil
+			}))
+			var dials atomic.Int32
+			client := startClient(t, countDials(&dials))
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			if reason == hemlockcall.ReasonCancelled {
+				cancel()
+				ctx, cancel = context.WithCancel(context.Background())
+				go func() { <-started; cancel() }()
+			}
+			defer cancel()
+			request := newRequest(nil, 0)
+			request.Header.Set("X-Id", "late")
+			_, err := client.To(address).Invoke(ctx, request)
+			refusedAs(t, err, hemlockcall.Unknown, reason)
+			receive(t, "cancelling of the handler", cancelled)
+			response, err := client.To(address).Invoke(context.Background(), newRequest(bytes.NewReader([]byte("own")), 3))
+			noError(t, err)
+			checkEcho(t, response, "7", []byte("own"))
+			equal(t, "connections opened", dials.Load(), 2)
+		})
+	}
+}
+
+func countDials(dials *atomic.Int32) Option {
+	return WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials.Add(1)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	})
+}
+
+// Guards against a request body that breaks off and reaches the handler as complete.
+func TestBrokenUploadIsIncomplete(t *testing.T) {
+	for name, length := range map[string]int64{"unknown length": -1, "known length": 1 << 20, "short": 10} {
+		t.Run(name, func(t *testing.T) {
+			read := make(chan error, 1)
+			_, address := startServer(t, invokerFunc(func(_ context.Context, r *hemlockcall.Request) (*hemlockcall.Response, error) {
+				_, err := io.Copy(io.Discard, r.Body)
+				read <- err
+				return newResponse(nil, 0), nil
+			}))
+			body := io.MultiReader(bytes.NewReader(pattern(1, 9)), failingReader{})
+			_, err := startClient(t).To(address).Invoke(context.Background(), newRequest(body, length))
+			refusedAs(t, err, hemlockcall.AsRefusal(err).Verdict, hemlockcall.ReasonIncomplete)
+			if length < 0 || length > chunkSize {
+				equal(t, "verdict", hemlockcall.AsRefusal(err).Verdict, hemlockcall.Unknown)
+				if receive(t, "end of the handler's body", read) == nil {
+					t.Fatal("the handler took the part for whole")
+				}
+			}
+		})
+	}
+}
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) {
+	return 0, errors.New("caller is gone")
+}
+
+// Guards against a handler that waits for a body nobody needs any more, and a connection that stays in that state.
+func TestAnswerBeforeEndOfRequest(t *testing.T) {
+	_, address := startServer(t, invokerFunc(func(context.Context, *hemlockcall.Request) (*hemlockcall.Response, error) {
+		return newResponse([]byte("early"), 5), nil
+	}))
+	client := startClient(t)
+	reader, writer := io.Pipe()
+	defer func() { _ = writer.Close() }()
+	response, err := client.To(address).Invoke(context.Background(), newRequest(reader, -1))
+	noError(t, err)
+	got, err := io.ReadAll(response.Body)
+	noError(t, err)
+	equal(t, "answer", string(got), "early")
+	_, reusable := client.pool.idle.Take(address)
+	equal(t, "connection kept", reusable, false)
+}
