--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(GO) build -o bin/ ./standin/...
 
 demo: standins ## run the whole path as separate processes under load with a fault
-	bin/demo -binaries bin -examples examples
+	bin/demo --binaries bin --examples examples
 
 test: ## run all tests and the model checker
 	@if [ -s KNOWN-RED.txt ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
--- /dev/null
+++ b/standin/demo/report.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"hemlockhollow/standin/harness"
+)
+
+// report collects the checks of the demo.
+type report struct {
+	failed int
+	total  int
+}
+
+// check prints one line and counts it.
+func (r *report) check(ok bool, format string, arguments ...any) {
+	r.total++
+	verdict := "ok    "
+	if !ok {
+		r.failed++
+		verdict = "FAILED"
+	}
+	fmt.Printf("  %s  %s\n", verdict, fmt.Sprintf(format, arguments...))
+}
+
+func (r *report) passed() bool {
+	return r.total > 0 && r.failed == 0
+}
+
+func (r *report) summary() {
+	fmt.Printf("\n%d passed, %d failed\n", r.total-r.failed, r.failed)
+}
+
+// printClasses prints one line for each class of a load.
+func printClasses(title string, classes []harness.ClassResult) {
+	fmt.Printf("\n%s\n", title)
+	fmt.Printf("  %-9s %6s %9s %7s %8s %8s %9s %9s  %s\n",
+		"class", "sent", "attempts", "whole", "not-run", "unknown", "p50 ms", "p99 ms", "whole in each second")
+	for _, c := range classes {
+		fmt.Printf("  %-9s %6d %9d %6.1f%% %8d %8d %9.1f %9.1f  %s\n", c.Name, c.Sent, c.Attempts, 100*share(c),
+			c.Ends["not-run"], c.Ends["unknown"], c.P50, c.P99, bySecond(c))
+	}
+}
+
+func bySecond(c harness.ClassResult) string {
+	parts := make([]string, len(c.Offered))
+	for i := range c.Offered {
+		parts[i] = fmt.Sprintf("%d%%", percent(c.Whole[i], c.Offered[i]))
+	}
+	return strings.Join(parts, " ")
+}
+
+func percent(part, whole int) int {
+	if whole == 0 {
+		return 0
+	}
+	return 100 * part / whole
+}
+
+func share(c harness.ClassResult) float64 {
+	if c.Sent == 0 {
+		return 0
+	}
+	return float64(c.Ends["whole"]) / float64(c.Sent)
+}
+
+// recovery returns the seconds after the end of the trigger until at least 90% of each following second are whole, or
+// -1 when that never happens.
+func recovery(c harness.ClassResult, triggerEnd int) int {
+	recovered := -1
+	for second := len(c.Offered) - 1; second >= triggerEnd; second-- {
+		if percent(c.Whole[second], c.Offered[second]) < 90 {
+			break
+		}
+		recovered = second - triggerEnd
+	}
+	return recovered
+}
--- a/standin/harness/cluster.go
+++ b/standin/harness/cluster.go
@@ -28,7 +28,7 @@
 	ip            string
 }
 
-// Callers, Peers, Operators and TargetAddress are the addresses of the host.
+// Callers is the address for callers.
 func (h *Host) Callers() string { return h.ip + ":7000" }
 
 // Peers is the address for other nodes.
