Add the virtual-time bench over the decision packages

Change: hemlockbench runs both houses' sizes on one event loop per case, with fakes of targets and callers, nine scenarios and fourteen variants; standin/bench prints goodput against what the slots could do, wasted work, attempts, recovery time and inversions. A completion counts for the trigger when its sending began to run in it.

Ruled out: counting by arrival; requests that arrive late in the trigger then complete after it, and goodput rises above what the slots could do (121% of bookings in one case).

--- /dev/null
+++ b/hemlockbench/result.go
@@ -0,0 +1,144 @@
+package hemlockbench
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"sync"
+)
+
+// Result holds the figures of one run.
+type Result struct {
+	House    string `json:"house"`
+	Scenario string `json:"scenario"`
+	Variant  string `json:"variant"`
+	Seed     uint64 `json:"seed"`
+	// Classes holds the share of what the slots could complete, for each class; negative where that is nothing.
+	Classes []ClassShare `json:"classes"`
+	// All is the share over all classes, weighted by the slot time of a request during the trigger.
+	All float64 `json:"all"`
+	// Wasted is the part of the targets' work from the start of the trigger that was spent on requests that failed.
+	Wasted float64 `json:"wasted"`
+	// Attempts is one plus the repeated attempts and repeated sendings per customer request.
+	Attempts float64 `json:"attempts"`
+	// Recovery is in seconds by the rule of meter.recovered; negative when the run ended before.
+	Recovery float64 `json:"recovery"`
+	// Inversions is the largest number, at one node, of requests admitted within a second after a request of a higher
+	// priority was refused for load there.
+	Inversions int `json:"inversions"`
+	// Crashes counts the deaths of targets.
+	Crashes int `json:"crashes"`
+}
+
+// ClassShare is the goodput of one class.
+type ClassShare struct {
+	Class string  `json:"class"`
+	Share float64 `json:"share"`
+	Done  int     `json:"done"`
+	Ideal int     `json:"ideal"`
+}
+
+func (s *simulation) result() Result {
+	r := Result{House: s.house.Name, Scenario: s.scenario.Name, Variant: s.variant.Name, Crashes: s.meter.crashes}
+	done, could := 0.0, 0.0
+	for i, total := range ideal(s.house, s.scenario) {
+		c := s.house.Classes[i]
+		weight := 0.0
+		for _, use := range s.house.use(c, s.scenario.Slow) {
+			weight += use
+		}
+		share := -1.0
+		if total >= 1 {
+			share = float64(s.meter.done[i]) / total
+		}
+		done, could = done+weight*float64(s.meter.done[i]), could+weight*total
+		r.Classes = append(r.Classes, ClassShare{Class: c.Name, Share: share, Done: s.meter.done[i],
+			Ideal: int(math.Round(total))})
+	}
+	r.All = done / could
+	r.Wasted = float64(s.meter.wasted) / float64(max(1, s.meter.work))
+	r.Attempts = 1 + float64(s.meter.extra)/float64(max(1, s.meter.total))
+	r.Recovery = s.meter.recovered().Seconds()
+	if r.Recovery < 0 {
+		r.Recovery = -1
+	}
+	for _, n := range s.nodes {
+		r.Inversions = max(r.Inversions, n.inversions.count)
+	}
+	return r
+}
+
+// Case names one run.
+type Case struct {
+	House    House
+	Scenario Scenario
+	Variant  Variant
+	Seed     uint64
+}
+
+// RunAll carries out the cases on some workers. The results are in the order of the cases and do not depend on the
+// number of workers.
+func RunAll(cases []Case, workers int) []Result {
+	results := make([]Result, len(cases))
+	next := make(chan int)
+	var group sync.WaitGroup
+	for range max(1, workers) {
+		group.Go(func() {
+			for i := range next {
+				c := cases[i]
+				results[i] = Run(c.House, c.Scenario, c.Variant, c.Seed)
+				results[i].Seed = c.Seed
+			}
+		})
+	}
+	for i := range cases {
+		next <- i
+	}
+	close(next)
+	group.Wait()
+	return results
+}
+
+// Print writes the results as one table for each house and scenario.
+func Print(w io.Writer, results []Result) error {
+	last := ""
+	for _, r := range results {
+		if title := r.House + " " + r.Scenario; title != last {
+			last = title
+			if err := printHead(w, title, r); err != nil {
+				return err
+			}
+		}
+		line := fmt.Sprintf("%-10s", r.Variant)
+		for _, c := range r.Classes {
+			line += share(c.Share)
+		}
+		recovery := "   never"
+		if r.Recovery >= 0 {
+			recovery = fmt.Sprintf("%7.1fs", r.Recovery)
+		}
+		line += fmt.Sprintf("%s%8.1f%%%9.3f%s%7d%8d\n", share(r.All), 100*r.Wasted, r.Attempts, recovery, r.Inversions,
+			r.Crashes)
+		if _, err := io.WriteString(w, line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printHead(w io.Writer, title string, r Result) error {
+	line := fmt.Sprintf("\n%s, seed %d\n%-10s", title, r.Seed, "")
+	for _, c := range r.Classes {
+		line += fmt.Sprintf("%9s", c.Class)
+	}
+	line += fmt.Sprintf("%9s%9s%9s%8s%7s%8s\n", "all", "wasted", "attempts", "recover", "invert", "crashes")
+	_, err := io.WriteString(w, line)
+	return err
+}
+
+func share(value float64) string {
+	if value < 0 {
+		return fmt.Sprintf("%9s", "-")
+	}
+	return fmt.Sprintf("%8.1f%%", 100*value)
+}
