Lower the limit on time-outs only when they outnumber completed runs

Cause: in a storm the limit fell to a tenth of the slots, because time-outs of requests that began late, or that waited for a nested call, counted as a sign of load. The slots stayed unused, and the slow growth kept them so.

Change: a time-out lowers the limit only when time-outs outnumber completed runs over about one round of the slots. A shed by the target lowers it as before.

Ruled out: no decrease on time-outs at all; the design asks for it where a target does nothing else.

--- a/hemlockadmission/limit.go
+++ b/hemlockadmission/limit.go
@@ -25,8 +25,10 @@
 	fixed     bool
 	ramping   bool // set from a cold start until the first sign of load
 	decreased time.Time
-	mean      time.Duration // moving mean of the service time; 0 means unknown
-	deviation time.Duration // moving mean of its absolute deviation
+	// completed and late count the ends since the last look at time-outs.
+	completed, late int
+	mean            time.Duration // moving mean of the service time; 0 means unknown
+	deviation       time.Duration // moving mean of its absolute deviation
 }
 
 func (l *limit) setSlots(slots int, cold bool) {
@@ -59,8 +61,12 @@
 	if l.fixed || l.slots == 0 {
 		return
 	}
+	if l.completed+l.late >= l.slots { // about one round of the slots
+		l.completed, l.late = l.completed/2, l.late/2
+	}
 	switch o.Result {
 	case Completed:
+		l.completed++
 		// An unused limit is not tested by a success, so it does not grow.
 		if 2*inFlight < l.current() {
 			return
@@ -71,15 +77,27 @@
 			l.value += 1 / l.value * additive
 		}
 		l.value = min(l.value, float64(l.slots))
-	case Shed, TimedOut:
-		l.ramping = false
-		if now.Sub(l.decreased) >= decreasePause {
-			l.decreased = now
-			l.value = max(l.value*decrease, l.floor())
+	case Shed:
+		l.lower(now)
+	case TimedOut:
+		// Time-outs beside many completed runs come from a late start or from one class; a lower limit would leave slots
+		// unused and make the queue wait longer.
+		if l.late++; l.late > l.completed {
+			l.lower(now)
 		}
 	}
 }
 
+func (l *limit) lower(now time.Time) {
+	l.ramping = false
+	if now.Sub(l.decreased) < decreasePause {
+		return
+	}
+	l.decreased = now
+	l.completed, l.late = 0, 0
+	l.value = max(l.value*decrease, l.floor())
+}
+
 // additive is the growth of the limit in slots for one limit's worth of completed requests.
 const additive = 2
 
