Test the target client, its listener and the shared HTTP code

The test of a stalled upload showed that http.Transport returns from a cancelled request only after the Read of its body has returned, so that the stall did not abort.

Change: the upload is read in another goroutine, and its Read returns when the run is cancelled.

Ruled out: a deadline on the source, which io.Reader does not have.

--- a/hemlockpeer/body.go
+++ b/hemlockpeer/body.go
@@ -130,5 +130,6 @@
 	if whole {
 		return io.EOF
 	}
-	return hemlockerror.Wrap("read request", KindBody, failure)
+	// Not wrapped: a broken connection has io.EOF in its chain, which a reader could take for the end of the body.
+	return hemlockerror.New("read request", KindBody, failure.Error())
 }
--- a/hemlockpeer/service.go
+++ b/hemlockpeer/service.go
@@ -1,6 +1,7 @@
 package hemlockpeer
 
 import (
+	"bytes"
 	"context"
 	"io"
 
@@ -115,15 +116,19 @@
 func (c *servedCall) run(ctx context.Context, cancel context.CancelFunc, request *hemlockcall.Request) error {
 	c.body = newRequestBody(ctx, c.reader, cancel)
 	defer c.body.close()
-	if request.Length >= 0 && request.Length <= chunkSize {
+	switch {
+	case request.Length == 0:
+		if err := c.body.readAll(); err != nil {
+			return err
+		}
+	case request.Length > 0 && request.Length <= chunkSize:
 		// A small body is read before the handler runs, which spares a goroutine.
 		if err := c.body.readAll(); err != nil {
 			return err
 		}
-	} else {
+		request.Body = bytes.NewReader(c.body.part)
+	default:
 		go c.body.pump()
-	}
-	if request.Length != 0 {
 		request.Body = c.body
 	}
 	response, err := c.server.handler.Invoke(ctx, request)
--- /dev/null
+++ b/hemlocktarget/answer_test.go
@@ -0,0 +1,109 @@
+package hemlocktarget
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+// Guards against an answer of the target that broke off and reaches the caller as complete, whether it was withheld or
+// streamed.
+func TestPartialAnswerIsNeverComplete(t *testing.T) {
+	long := strings.Repeat("x", 2<<20)
+	for name, answer := range map[string]string{
+		"no answer":                 "",
+		"cut head":                  "HTTP/1.1 200 OK\r\nContent-Le",
+		"short body":                "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+		"short long body":           "HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n" + long,
+		"cut chunk":                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nA\r\nshort",
+		"missing last chunk":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+		"missing last chunk, long":  fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(long), long),
+		"broken chunk":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nshort\r\n0\r\n\r\n",
+		"without framing":           "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nshort",
+		"HTTP/1.0, without framing": "HTTP/1.0 200 OK\r\n\r\nshort",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := startRawTarget(t, answering(answer))
+			_, err := readWhole(context.Background(), startClient(t, target.address), newRequest(http.MethodPost, "k", nil, 0))
+			if err == nil {
+				t.Fatal("the answer counts as complete")
+			}
+			equal(t, "verdict", hemlockcall.AsRefusal(err).Verdict, hemlockcall.Unknown)
+			equal(t, "runs", target.runsOf("k"), 1)
+		})
+	}
+}
+
+// Guards against headers that do not arrive or that should not: hop-by-hop headers, a verdict copied by the target, the
+// key of a request that may not run twice, and the trace of a caller.
+func TestHeaders(t *testing.T) {
+	got := make(chan http.Header, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got <- r.Header
+		w.Header().Set("Hemlock-Verdict", "not-run")
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set("X-End", "1")
+	}))
+	defer server.Close()
+	request := newRequest(http.MethodPost, "k", nil, 0)
+	request.Header.Set("Traceparent", "00-ffffffffffffffffffffffffffffffff-ffffffffffffffff-01")
+	request.Header.Set("Te", "trailers")
+	response, err := startClient(t, server.Listener.Addr().String()).Invoke(context.Background(), request)
+	noError(t, err)
+	header := receive(t, "request", got)
+	equal(t, "key", header.Get(HeaderKey), "k")
+	equal(t, "trace", header.Get("Traceparent"), "00-01000000000000000000000000000000-0200000000000000-01")
+	equal(t, "hop-by-hop header of the request", header.Get("Te"), "")
+	equal(t, "verdict", response.Header.Get("Hemlock-Verdict"), "")
+	equal(t, "hop-by-hop header of the response", response.Header.Get("X-Hop"), "")
+	equal(t, "end-to-end header of the response", response.Header.Get("X-End"), "1")
+}
+
+// Guards against an upload that keeps its slot while nothing arrives.
+func TestStalledUploadAbortsTheRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		client := startClient(t, "target:80", WithDial(func(context.Context, string, string) (net.Conn, error) {
+			return near, nil
+		}))
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		body, writer := io.Pipe()
+		begin := time.Now()
+		_, err := client.Invoke(context.Background(), newRequest(http.MethodPut, "", io.MultiReader(strings.NewReader("start"), body), -1))
+		refusedAs(t, err, hemlockcall.Unknown, hemlockcall.ReasonIncomplete)
+		equal(t, "time until the abort", time.Since(begin), 2*time.Second)
+		_ = writer.Close()
+		_ = far.Close()
+		synctest.Wait()
+	})
+}
+
+// Guards against a body that is lost or changed by reading ahead, and against taking a part for whole.
+func TestReadAhead(t *testing.T) {
+	for _, size := range []int{0, 1, ReadAheadSize, ReadAheadSize + 1, 2 * ReadAheadSize} {
+		body := bytes.Repeat([]byte("x"), size)
+		for _, length := range []int64{int64(size), -1} {
+			request, err := ReadAhead(newRequest(http.MethodPut, "", bytes.NewReader(body), length))
+			noError(t, err)
+			got, err := io.ReadAll(request.Body)
+			noError(t, err)
+			equal(t, "body", string(got), string(body))
+			if size <= ReadAheadSize {
+				equal(t, "length", request.Length, int64(size))
+			}
+		}
+	}
+	_, err := ReadAhead(newRequest(http.MethodPut, "", strings.NewReader("part"), 9))
+	refusedAs(t, err, hemlockcall.NotRun, hemlockcall.ReasonIncomplete)
+}
--- a/hemlocktarget/invoke.go
+++ b/hemlocktarget/invoke.go
@@ -94,7 +94,7 @@
 func (r *run) setBody(outgoing *http.Request, request *hemlockcall.Request) {
 	switch {
 	case request.Body != nil && request.Length != 0:
-		outgoing.Body = newUpload(request.Body, r.client.settings.stall, r.cancel)
+		outgoing.Body = newUpload(r.ctx, r.cancel, request.Body, r.client.settings.stall)
 		outgoing.ContentLength = max(request.Length, -1)
 	case request.Method == http.MethodGet, request.Method == http.MethodHead,
 		request.Method == http.MethodOptions, request.Method == http.MethodTrace:
