Hold the late answer until the caller has given up in its test

Cause: the deadline case failed once in about nine runs: the handler's deadline and the caller's end at the same moment, and a whole answer that arrived just before the caller's was rightly accepted.

Change: the handler answers only after the caller's call has returned, which makes the answer late in every run.

Conclusion: passes eight times in a row with the race detector.

--- a/hemlockpeer/verdict_test.go
+++ b/hemlockpeer/verdict_test.go
@@ -127,7 +127,7 @@
 		"cancel": hemlockcall.ReasonCancelled, "deadline": hemlockcall.ReasonDeadline,
 	} {
 		t.Run(name, func(t *testing.T) {
-			started, cancelled := make(chan struct{}, 1), make(chan struct{}, 1)
+			started, cancelled, givenUp := make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 			_, address := startServer(t, invokerFunc(func(ctx context.Context, r *hemlockcall.Request) (*hemlockcall.Response, error) {
 				if r.Header.Get("X-Id") != "late" {
 					return echoDigest(ctx, r)
@@ -136,6 +136,7 @@
 				<-ctx.Done()
 				cancelled <- struct{}{}
 				// The answer comes late, after the caller has given up.
+				<-givenUp
 				return newResponse([]byte("late"), 4), nil
 			}))
 			var dials atomic.Int32
@@ -150,6 +151,7 @@
 			request := newRequest(nil, 0)
 			request.Header.Set("X-Id", "late")
 			_, err := client.To(address).Invoke(ctx, request)
+			close(givenUp)
 			refusedAs(t, err, hemlockcall.Unknown, reason)
 			receive(t, "cancelling of the handler", cancelled)
 			response, err := client.To(address).Invoke(context.Background(), newRequest(bytes.NewReader([]byte("own")), 3))
