--- a/standin/demo/main.go
+++ b/standin/demo/main.go
@@ -18,7 +18,6 @@
 	flaggy.Bool(&verbose, "", "verbose", "print what the processes printed")
 	flaggy.Parse()
 	d := newDemo(binaries, examples)
-	defer d.cluster.Stop()
 	err := d.run()
 	if err != nil {
 		fmt.Println("FAILED:", err)
@@ -26,8 +25,8 @@
 	if verbose || err != nil {
 		d.cluster.WriteOutput(os.Stderr)
 	}
+	d.cluster.Stop()
 	if err != nil || !d.report.passed() {
-		d.cluster.Stop()
 		os.Exit(1)
 	}
 }
--- a/standin/harness/observe.go
+++ b/standin/harness/observe.go
@@ -110,6 +110,7 @@
 	Sent       int            `json:"sent"`
 	Attempts   int            `json:"attempts"`
 	Ends       map[string]int `json:"ends"`
+	Reasons    map[string]int `json:"reasons"`
 	P50        float64        `json:"p50-ms"`
 	P99        float64        `json:"p99-ms"`
 	Offered    []int          `json:"offered"`
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -86,34 +86,35 @@
 	id := uuid.NewString()
 	began := time.Now()
 	var ended end
+	var reason string
 	sent := 0
 	for sent <= c.repeats {
-		ended = c.send(ctx, kind, n+sent, id, key)
+		ended, reason = c.send(ctx, kind, n+sent, id, key)
 		sent++
 		if ended == endWhole || ended == endWrong {
 			break
 		}
 	}
-	collected.add(index, at, time.Since(began), sent, ended, key)
+	collected.add(index, at, time.Since(began), sent, ended, reason, key)
 }
 
 // send makes one attempt. Only a connection that cannot be opened leads to the next node.
-func (c *callers) send(ctx context.Context, kind class, n int, id, key string) end {
+func (c *callers) send(ctx context.Context, kind class, n int, id, key string) (end, string) {
 	for try := range c.entries {
-		ended := c.sendTo(ctx, c.entries[(n+try)%len(c.entries)], kind, n, id, key)
+		ended, reason := c.sendTo(ctx, c.entries[(n+try)%len(c.entries)], kind, n, id, key)
 		if ended != endUnreachable {
-			return ended
+			return ended, reason
 		}
 	}
-	return endUnreachable
+	return endUnreachable, ""
 }
 
-func (c *callers) sendTo(ctx context.Context, entry string, kind class, n int, id, key string) end {
+func (c *callers) sendTo(ctx context.Context, entry string, kind class, n int, id, key string) (end, string) {
 	path := strings.ReplaceAll(kind.path, "{n}", strconv.Itoa(n))
 	body := bytes.Repeat([]byte("x"), kind.body)
 	request, err := http.NewRequestWithContext(ctx, kind.method, "http://"+entry+path, bytes.NewReader(body))
 	if err != nil {
-		return endFailed
+		return endFailed, err.Error()
 	}
 	// Without GetBody the transport never sends a request again by itself.
 	request.GetBody = nil
@@ -124,12 +125,12 @@
 	response, err := c.client.Do(request)
 	if err != nil {
 		if strings.Contains(err.Error(), "dial tcp") {
-			return endUnreachable
+			return endUnreachable, ""
 		}
-		return endBroken
+		return endBroken, "connection"
 	}
 	defer func() { _ = response.Body.Close() }()
-	return judge(response, id, body)
+	return judge(response, id, body), response.Header.Get("Hemlock-Reason")
 }
 
 func judge(response *http.Response, id string, body []byte) end {
--- a/standin/load/results.go
+++ b/standin/load/results.go
@@ -19,6 +19,8 @@
 	Sent     int            `json:"sent"`
 	Attempts int            `json:"attempts"`
 	Ends     map[string]int `json:"ends"`
+	// Reasons counts the reasons of refusals and breaks.
+	Reasons map[string]int `json:"reasons"`
 	// P50 and P99 are of whole answers, in milliseconds.
 	P50 float64 `json:"p50-ms"`
 	P99 float64 `json:"p99-ms"`
@@ -42,6 +44,7 @@
 		collected.Classes = append(collected.Classes, &classResult{
 			Name:      c.name,
 			Ends:      map[string]int{},
+			Reasons:   map[string]int{},
 			Offered:   make([]int, seconds),
 			Whole:     make([]int, seconds),
 			Latest:    make([]float64, seconds),
@@ -51,7 +54,7 @@
 	return collected
 }
 
-func (r *results) add(index int, at, latency time.Duration, sent int, ended end, key string) {
+func (r *results) add(index int, at, latency time.Duration, sent int, ended end, reason, key string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	result := r.Classes[index]
@@ -59,6 +62,9 @@
 	result.Sent++
 	result.Attempts += sent
 	result.Ends[endNames[ended]]++
+	if reason != "" {
+		result.Reasons[reason]++
+	}
 	result.Offered[second]++
 	switch ended {
 	case endWhole:
