Bound the nesting of service files and tell how to settle an unknown publish

Cause: 256 KiB of opening brackets exhausted the stack of the HCL parser, which ends the process and cannot be recovered from. After an unknown outcome, an operator who published again without a base could undo what others had published since.

Change: the tokens are counted before the parse, with a bound of 32 levels for brackets, templates and operators. publish prints the base version to use after an unknown outcome. Problems are printed one a line without a prefix.

Ruled out: a smaller file limit; a house that names 2,000 customers needs about 200 KiB.

Conclusion: the deep files now give one problem each; a test covers them.

--- a/hemlockcommand/check.go
+++ b/hemlockcommand/check.go
@@ -26,8 +26,7 @@
 			}
 			services, problems := hemlockconfiguration.Check(files)
 			if len(problems) > 0 {
-				write(c.Errors, "%v\n", problems)
-				return usage("check", "%d problems", len(problems))
+				return hemlockerror.Wrap("check", KindUsage, problems)
 			}
 			for i, s := range services {
 				write(c.Output, "%s: service %s: %d classes, %d customers\n",
--- a/hemlockcommand/command.go
+++ b/hemlockcommand/command.go
@@ -7,7 +7,10 @@
 	"io"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"hemlockhollow/hemlockconfiguration"
+	"hemlockhollow/hemlockservice"
 )
 
 // Command is the command line with what it needs from outside.
@@ -26,7 +29,12 @@
 // Run carries out the arguments, without the program's name, and returns the exit code.
 func (c Command) Run(ctx context.Context, arguments []string) int {
 	err := c.run(ctx, arguments)
-	if err != nil {
+	var problems hemlockservice.Problems
+	switch {
+	case errors.As(err, &problems):
+		// One line for each problem, without a prefix, so that editors find the place.
+		write(c.Errors, "%v\nhemlockhollow: %d problems\n", problems, len(problems))
+	case err != nil:
 		write(c.Errors, "hemlockhollow: %v\n", err)
 	}
 	return exitCode(err)
--- a/hemlockcommand/publish.go
+++ b/hemlockcommand/publish.go
@@ -53,6 +53,10 @@
 		return hemlockerror.Wrap("publish", KindUnreachable, err)
 	}
 	result, err := hemlockconfiguration.NewPublisher(store).Publish(ctx, files)
+	if hemlockerror.KindOf[hemlockconfiguration.Kind](err) == hemlockconfiguration.KindUnknown {
+		// With a base, a repeated publish is refused instead of undoing what others have published since.
+		write(c.Errors, "The publish may take effect. To settle it, publish the same files again with --base %d.\n", max(result.Start, 1))
+	}
 	if err != nil {
 		return err
 	}
--- a/hemlockconfiguration/publisher.go
+++ b/hemlockconfiguration/publisher.go
@@ -62,8 +62,10 @@
 	}
 }
 
-// Result is an accepted publish.
+// Result is an accepted publish. With an error, Start alone is set.
 type Result struct {
+	// Start is the version at the start of the publish, the base of files without one; 0 if it could not be read.
+	Start uint64
 	// Version is the version that holds the changes.
 	Version uint64
 	// Unchanged is set when the version at the start held the changes already and no new one was written.
@@ -89,28 +91,29 @@
 	if err := a.settleBases(); err != nil {
 		return Result{}, err
 	}
-	start := a.current.Version
+	result := Result{Start: a.current.Version}
 	for range p.attempts {
 		if err := a.conflict(); err != nil {
-			return Result{}, err
+			return result, err
 		}
 		missing := a.missing()
 		if len(missing) == 0 {
-			return Result{Version: a.current.Version, Unchanged: true}, nil
+			return Result{Start: result.Start, Version: a.current.Version, Unchanged: true}, nil
 		}
 		next := a.current.next(missing, a.nonce)
 		if err := next.check(); err != nil {
-			return Result{}, hemlockerror.Wrap(publishOperation, KindInvalid, err)
+			return result, hemlockerror.Wrap(publishOperation, KindInvalid, err)
 		}
 		accepted, err := a.commit(ctx, next)
 		if err != nil {
-			return Result{}, err
+			return result, err
 		}
 		if accepted {
-			return Result{Version: next.Version, Merged: int(next.Version - 1 - start)}, nil
+			result.Version, result.Merged = next.Version, int(next.Version-1-result.Start)
+			return result, nil
 		}
 	}
-	return Result{}, hemlockerror.New(publishOperation, KindContended, "other publishers were faster each time; publish again")
+	return result, hemlockerror.New(publishOperation, KindContended, "other publishers were faster each time; publish again")
 }
 
 // attempt is one publish in progress.
--- a/hemlockservice/parse.go
+++ b/hemlockservice/parse.go
@@ -20,6 +20,10 @@
 		r.report("", "the file has %d bytes; allowed are %d", len(text), maxFile)
 		return Service{}, r.problems
 	}
+	if at, found := tooNested(text, file); found {
+		r.reportAt(at, "brackets, templates or operators are nested more than %d deep", maxNesting)
+		return Service{}, r.problems
+	}
 	parsed, diagnostics := hclsyntax.ParseConfig(text, file, hcl.InitialPos)
 	p := parser{reporter: r}
 	for _, d := range diagnostics {
--- a/hemlockservice/parse_test.go
+++ b/hemlockservice/parse_test.go
@@ -148,6 +148,16 @@
 	})
 }
 
+// Guards against a file that exhausts the stack of the HCL parser, which no recover can catch.
+func TestParseRefusesDeepNesting(t *testing.T) {
+	for _, text := range []string{"(", "[", "{a=", `"${`, "!", "a?b:", "!\n", "b {\n"} {
+		_, problems := Parse("f.hcl", []byte("a = ("+strings.Repeat(text, 30_000)))
+		if len(problems) != 1 || !strings.Contains(problems.Error(), "nested more than 32 deep") {
+			t.Errorf("%q repeated gave %d problems", text, len(problems))
+		}
+	}
+}
+
 func assertLines(t *testing.T, problems Problems, want []string) {
 	t.Helper()
 	if len(problems) != len(want) {
