Model both ends of a publish that loses its race, and report a corrupt head

Cause: with two writes of a publish the model never reached the end after the last lost race, and a damaged head row was reported as an unreachable platform.

Change: the numbers of writes and calls can be set for a run of the model. The package comment of hemlockservice lists the keys of a service file.

--- a/hemlockconfiguration/publisher.go
+++ b/hemlockconfiguration/publisher.go
@@ -134,24 +134,28 @@
 		if n > 0 && a.wait(ctx, n) != nil {
 			break
 		}
-		head, row, err := a.store.ReadHead(ctx)
-		if err != nil {
-			last = err
-			continue
-		}
-		c, err := Load(ctx, a.store, head)
-		if err == nil {
-			a.current, a.row = c, row
+		if last = a.readCurrent(ctx); last == nil {
 			return nil
 		}
-		last = err
-		if kind := hemlockerror.KindOf[Kind](err); kind == KindCorrupt {
-			return hemlockerror.Wrap(publishOperation, KindCorrupt, err)
+		if hemlockerror.KindOf[Kind](last) == KindCorrupt {
+			return hemlockerror.Wrap(publishOperation, KindCorrupt, last)
 		}
 	}
 	return hemlockerror.Wrap(publishOperation, KindUnavailable, last)
 }
 
+func (a *attempt) readCurrent(ctx context.Context) error {
+	head, row, err := a.store.ReadHead(ctx)
+	if err != nil {
+		return err
+	}
+	c, err := Load(ctx, a.store, head)
+	if err == nil {
+		a.current, a.row = c, row
+	}
+	return err
+}
+
 // settleBases replaces bases that were not given by the version at the start and refuses impossible changes.
 func (a *attempt) settleBases() error {
 	for i, c := range a.changes {
--- a/hemlockservice/service.go
+++ b/hemlockservice/service.go
@@ -1,5 +1,26 @@
 // Package hemlockservice reads the service files that operators write, and matches requests to their classes and
 // callers to their customers.
+//
+// A file has one block service "NAME" with these keys:
+//
+//	slots             requests that one target runs at a time; required
+//	connections       connections that one target accepts; required, at least slots
+//	not-run-statuses  response statuses that mean "not run"; 400 to 599
+//	claim-retention   oldest idempotency key that is accepted; 1m to 720h, default 48h
+//	default-class     class of requests that no match block matches; without it they are refused
+//	default-rank      rank of customers that the file does not name; 0 to 255, default 255
+//
+// Blocks class "NAME" have match blocks and these keys:
+//
+//	priority    critical, important or sheddable; required
+//	repeat      never or safe; required
+//	timeout     how long a caller waits; required, 10ms to 10m
+//	retries     allowance for the whole call chain; 0 to 16, default 0
+//	max-body    largest request body; 1B to 4GiB, default 1MiB
+//	max-answer  largest response body; up to 4GiB, default 64MiB; for repeat "never" up to 1MiB, default 64KiB
+//
+// A match block has a path, and a method unless it matches all methods. A trailing /* of the path matches the path
+// before it and everything below. Blocks customer "NAME" have a rank (0 is served first) and optionally token-sha256.
 package hemlockservice
 
 import (
--- a/spec/publish.pml
+++ b/spec/publish.pml
@@ -20,8 +20,12 @@
  */
 
 #define PUBLISHERS 2
+#ifndef TRIES
 #define TRIES 3        /* calls of one swap before the outcome is reported as unknown */
-#define ROUNDS 2       /* lost races that are merged */
+#endif
+#ifndef ROUNDS
+#define ROUNDS 2       /* writes of a publish, each but the first after a lost race */
+#endif
 #define VERSIONS 4     /* two publishers write two versions at most */
 
 #define NONE 9
@@ -35,7 +39,7 @@
 byte content0[VERSIONS];
 byte content1[VERSIONS];
 
-/* Calls of SwapHead that are still on their way: one for each publisher and round. */
+/* Calls of SwapHead that are still on their way: one for each publisher and round, of which there are at most two. */
 chan late[4] = [1] of { byte, byte, byte, byte };  /* row, version, content */
 
 mtype outcome[PUBLISHERS];
@@ -115,8 +119,8 @@
 			fi
 		:: !HOLDS(my_row) -> goto settle             /* KindStale */
 		:: skip                                      /* the call is lost */
-		:: nfull(late[p * ROUNDS + rounds - 1]) ->   /* the call is late and its reply is lost */
-			late[p * ROUNDS + rounds - 1]!my_row, my_head + 1, c0, c1
+		:: nfull(late[p * 2 + rounds - 1]) ->   /* the call is late and its reply is lost */
+			late[p * 2 + rounds - 1]!my_row, my_head + 1, c0, c1
 		fi;
 		/* moved: a row that has not moved leaves the outcome open, so the same write is sent again. */
 		if
