Test the claim protocol and the platform client under faults

Cause: at most once has to hold under lost, late and unsent writes, crashes, pauses and concurrent repetitions.

--- /dev/null
+++ b/hemlockclaim/batcher_test.go
@@ -0,0 +1,148 @@
+package hemlockclaim_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hemlockhollow/hemlockclaim"
+)
+
+func changeOf(key string) hemlockclaim.Change {
+	return hemlockclaim.Change{Key: key, Row: hemlockclaim.Row{State: hemlockclaim.StateRunning}}
+}
+
+func writeAll(writer hemlockclaim.Writer, count int) []error {
+	failures := make([]error, count)
+	var wait sync.WaitGroup
+	for i := range count {
+		wait.Go(func() {
+			_, failures[i] = writer.Write(context.Background(), []hemlockclaim.Change{changeOf(fmt.Sprint(i))})
+		})
+	}
+	wait.Wait()
+	return failures
+}
+
+// Guards against a transaction for each change, and against one above the limit.
+func TestBatcherBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable()
+		table.latency = 2 * time.Millisecond
+		batcher := hemlockclaim.NewBatcher(hemlockclaim.NewTransactionWriter(table), hemlockclaim.WithBatchLimits(40, 1<<20))
+		start := time.Now()
+		for _, err := range writeAll(batcher, 100) {
+			wantKind(t, err, "")
+		}
+		if table.calls > 4 || time.Since(start) > 20*time.Millisecond {
+			t.Errorf("%d transactions of %v in %v", table.calls, table.sizes, time.Since(start))
+		}
+		for _, size := range table.sizes {
+			if size > 40 {
+				t.Errorf("a transaction of %d changes", size)
+			}
+		}
+	})
+}
+
+// Guards against one taken key that fails the changes of other callers.
+func TestBatcherConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable()
+		writer := hemlockclaim.NewTransactionWriter(table)
+		_, _ = writer.Write(context.Background(), []hemlockclaim.Change{changeOf("a")})
+		applied, err := writer.Write(context.Background(), []hemlockclaim.Change{changeOf("a"), changeOf("b"), changeOf("b")})
+		if err != nil || fmt.Sprint(applied) != "[false true false]" {
+			t.Errorf("applied %v, %v", applied, err)
+		}
+	})
+}
+
+// Guards against a change that is reported as not written although its transaction was sent, and the reverse.
+func TestBatcherVerdicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable()
+		table.latency = 20 * time.Millisecond
+		batcher := hemlockclaim.NewBatcher(hemlockclaim.NewTransactionWriter(table),
+			hemlockclaim.WithInterval(50*time.Millisecond), hemlockclaim.WithQueueLimit(2))
+		for _, kind := range []hemlockclaim.Kind{hemlockclaim.KindUnknown, hemlockclaim.KindUnavailable} {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+			_, err := batcher.Write(ctx, []hemlockclaim.Change{changeOf(string(kind))})
+			wantKind(t, err, kind)
+			cancel()
+		}
+		synctest.Wait()
+		_, err := batcher.Write(context.Background(), []hemlockclaim.Change{changeOf("a"), changeOf("b"), changeOf("c")})
+		wantKind(t, err, hemlockclaim.KindUnavailable)
+		time.Sleep(time.Second)
+		if counts := batcher.Counts(); counts.Abandoned != 1 || counts.Rejected != 3 || counts.InFlight != 0 {
+			t.Errorf("%+v", counts)
+		}
+	})
+}
+
+// Guards against a second write of a change whose collector may have written it.
+func TestCollectorFallback(t *testing.T) {
+	for _, c := range []struct{ remote, want hemlockclaim.Kind }{
+		{hemlockclaim.KindUnavailable, ""}, {hemlockclaim.KindUnknown, hemlockclaim.KindUnknown}, {"", hemlockclaim.KindUnknown},
+	} {
+		table := newFakeTable()
+		collector := hemlockclaim.NewCollector(hemlockclaim.NewTransactionWriter(table),
+			func(string) string { return "127.0.0.9:1" },
+			func(context.Context, string, []hemlockclaim.Change) ([]bool, error) {
+				if c.remote == "" {
+					return nil, context.DeadlineExceeded
+				}
+				return nil, hemlockclaim.NewError("remote", c.remote, "")
+			})
+		_, err := collector.Write(context.Background(), []hemlockclaim.Change{changeOf("a")})
+		wantKind(t, err, c.want)
+		if written := len(table.rows) == 1; written != (c.want == "") {
+			t.Errorf("remote %q: written locally: %v", c.remote, written)
+		}
+	}
+}
+
+// BenchmarkBatcher measures in virtual time, so that the figures do not depend on the machine: 2,000 claims/s arrive
+// evenly for 1 s, and a transaction takes 2 ms.
+func BenchmarkBatcher(b *testing.B) {
+	const claims, latency = 2000, 2 * time.Millisecond
+	for _, interval := range []time.Duration{time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond} {
+		b.Run(interval.String(), func(b *testing.B) {
+			var total time.Duration
+			var calls int
+			for range b.N {
+				inBubble(func() {
+					table := newFakeTable()
+					table.latency = latency
+					batcher := hemlockclaim.NewBatcher(hemlockclaim.NewTransactionWriter(table), hemlockclaim.WithInterval(interval))
+					delays := make([]time.Duration, claims)
+					var wait sync.WaitGroup
+					for i := range claims {
+						wait.Go(func() {
+							start := time.Now()
+							_, _ = batcher.Write(context.Background(), []hemlockclaim.Change{changeOf(fmt.Sprint(i))})
+							delays[i] = time.Since(start) - latency
+						})
+						time.Sleep(time.Second / claims)
+					}
+					wait.Wait()
+					for _, delay := range delays {
+						total += delay
+					}
+					calls += table.calls
+				})
+			}
+			b.ReportMetric(float64(claims*b.N)/float64(calls), "claims/transaction")
+			b.ReportMetric(float64(total.Microseconds())/float64(claims*b.N)/1000, "added-ms/claim")
+		})
+	}
+}
+
+// inBubble runs the function in virtual time; a benchmark has no synctest of its own.
+func inBubble(run func()) {
+	synctest.Test(&testing.T{}, func(*testing.T) { run() })
+}
--- a/hemlockclaim/claimer.go
+++ b/hemlockclaim/claimer.go
@@ -107,11 +107,11 @@
 		applied, err := c.write(ctx, claim, version, StateRunning)
 		switch {
 		case err == nil && applied:
-			return claim, nil, nil
+			return c.confirm(claim, key)
 		case KindOf(err) == KindUnavailable:
 			return Claim{}, nil, err
 		case err != nil:
-			return c.readBack(ctx, claim, version, err)
+			return c.readBack(ctx, claim, key, version, err)
 		}
 		row, found, err := c.store.Read(ctx, name)
 		if err != nil {
@@ -131,8 +131,18 @@
 	return Claim{}, nil, newError("claim", KindInProgress, "other attempts with this key are under way")
 }
 
+// confirm returns a claim whose row was written. An attempt that is paused behind the first check of the key for so long
+// that the sweep has deleted the row of an earlier attempt could insert a row again; the second check stops it.
+func (c *Claimer) confirm(claim Claim, key string) (Claim, *Answer, error) {
+	if _, err := rowKey(c.service, key, c.retention, c.settings.clock()); err != nil {
+		return Claim{}, nil, err
+	}
+	return claim, nil, nil
+}
+
 // readBack decides a claim whose reply was lost.
-func (c *Claimer) readBack(ctx context.Context, claim Claim, version uint64, lost error) (Claim, *Answer, error) {
+func (c *Claimer) readBack(ctx context.Context, claim Claim, key string, version uint64, lost error,
+) (Claim, *Answer, error) {
 	refusal := wrapError("claim", KindUnavailable, lost)
 	row, found, err := c.store.Read(ctx, claim.key)
 	if err != nil {
@@ -140,7 +150,7 @@
 		return Claim{}, nil, refusal
 	}
 	if found && row.Nonce == claim.nonce && row.State == StateRunning {
-		return claim, nil, nil
+		return c.confirm(claim, key)
 	}
 	if row.Version == version {
 		// The claim is not visible, but may still be under way. A tombstone with the same condition makes it fail;
--- /dev/null
+++ b/hemlockclaim/claimer_test.go
@@ -0,0 +1,125 @@
+package hemlockclaim_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hemlockhollow/hemlockclaim"
+)
+
+// Guards against a key that is accepted outside its retention, or whose other spelling is another key.
+func TestKeys(t *testing.T) {
+	// The clock of a synctest bubble starts here.
+	now := time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+	for name, c := range map[string]struct {
+		key  string
+		kind hemlockclaim.Kind
+	}{
+		"not a UUID":    {"order-7", hemlockclaim.KindBadKey},
+		"version 4":     {"6fa459ea-ee8a-4ca4-894e-db77e160355e", hemlockclaim.KindBadKey},
+		"braces":        {"{" + keyAt(now, 1) + "}", hemlockclaim.KindBadKey},
+		"too old":       {keyAt(now.Add(-61*time.Minute), 1), hemlockclaim.KindExpired},
+		"old":           {keyAt(now.Add(-59*time.Minute), 1), ""},
+		"ahead":         {keyAt(now.Add(4*time.Minute), 1), ""},
+		"too far ahead": {keyAt(now.Add(6*time.Minute), 1), hemlockclaim.KindBadKey},
+		"upper case":    {strings.ToUpper(keyAt(now, 0xab)), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				claimer := newFakeTable().claimer()
+				_, _, err := claimer.Claim(context.Background(), c.key, "digest")
+				wantKind(t, err, c.kind)
+				if c.kind == "" {
+					_, _, err = claimer.Claim(context.Background(), strings.ToLower(c.key), "digest")
+					wantKind(t, err, hemlockclaim.KindInProgress)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a key that returns the answer to another request, or that is shared by two services.
+func TestKeyScope(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		claimer, key := newFakeTable().claimer(), keyAt(time.Now(), 1)
+		_, _, err := claimer.Claim(context.Background(), key, "digest")
+		wantKind(t, err, "")
+		_, _, err = claimer.Claim(context.Background(), key, "other")
+		wantKind(t, err, hemlockclaim.KindMismatch)
+		_, _, err = claimer.For("weave", time.Hour).Claim(context.Background(), key, "other")
+		wantKind(t, err, "")
+	})
+}
+
+// Guards against a late claim that makes a key unusable although the tombstone was written.
+func TestTombstoneVoidsLateClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, key := newFakeTable(), keyAt(time.Now(), 1)
+		claimer := table.claimer()
+		table.fail(late)
+		_, _, err := claimer.Claim(context.Background(), key, "digest")
+		wantKind(t, err, hemlockclaim.KindUnavailable)
+		table.applyLate(0)
+		claim, _, err := claimer.Claim(context.Background(), key, "digest")
+		wantKind(t, err, "")
+		wantKind(t, claimer.Release(context.Background(), claim), "")
+		_, _, err = claimer.Claim(context.Background(), key, "digest")
+		wantKind(t, err, "")
+	})
+}
+
+// Guards against a second run by an attempt that was paused until the sweep had deleted the row of the first one.
+func TestPauseBeyondSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		key, readings := keyAt(time.Now(), 1), -1
+		claimer := newFakeTable().claimer(hemlockclaim.WithClock(func() time.Time {
+			readings++
+			return time.Now().Add(time.Duration(readings) * 3 * time.Hour)
+		}))
+		_, _, err := claimer.Claim(context.Background(), key, "digest")
+		wantKind(t, err, hemlockclaim.KindExpired)
+	})
+}
+
+// Guards against a caller that waits longer than 500 ms, or for its own cancellation to free the key.
+func TestClaimTimeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable()
+		table.latency = time.Minute
+		start := time.Now()
+		_, _, err := table.claimer().Claim(context.Background(), keyAt(time.Now(), 1), "digest")
+		wantKind(t, err, hemlockclaim.KindUnavailable)
+		if waited := time.Since(start); waited > 500*time.Millisecond {
+			t.Errorf("the refusal took %v", waited)
+		}
+		time.Sleep(time.Second) // The write of the tombstone ends.
+	})
+}
+
+// Guards against a sweep that deletes usable claims, stops at its page size, or exceeds its limit.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable()
+		claimer := table.claimer()
+		for i := range byte(100) {
+			_, _, err := claimer.Claim(context.Background(), keyAt(time.Now(), i), "digest")
+			wantKind(t, err, "")
+		}
+		time.Sleep(time.Hour)
+		_, _, err := claimer.Claim(context.Background(), keyAt(time.Now(), 200), "digest")
+		wantKind(t, err, "")
+		for _, c := range []struct {
+			wait    time.Duration
+			deleted int
+		}{{0, 0}, {61 * time.Minute, 70}, {0, 30}, {0, 0}, {time.Hour, 1}} {
+			time.Sleep(c.wait)
+			deleted, err := hemlockclaim.Sweep(context.Background(), table, "orders", time.Hour, time.Now(), 70)
+			if err != nil || deleted != c.deleted {
+				t.Errorf("deleted %d rows with %v, want %d", deleted, err, c.deleted)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/hemlockclaim/fake_test.go
@@ -0,0 +1,150 @@
+package hemlockclaim_test
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"hemlockhollow/hemlockclaim"
+)
+
+// fault is what happens to the next write.
+type fault int
+
+const (
+	none fault = iota
+	unsent
+	lost // takes effect, the reply is lost
+	late // takes effect when applyLate is called, the reply is lost
+)
+
+// fakeTable is a table with versions that are used once and with faults that a test chooses.
+type fakeTable struct {
+	mutex   sync.Mutex
+	rows    map[string]hemlockclaim.Row
+	version uint64
+	next    []fault
+	noReads bool
+	waiting [][]hemlockclaim.Change
+	latency time.Duration
+	calls   int
+	sizes   []int
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[string]hemlockclaim.Row{}}
+}
+
+func (f *fakeTable) Read(_ context.Context, key string) (hemlockclaim.Row, bool, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.noReads {
+		return hemlockclaim.Row{}, false, hemlockclaim.NewError("read", hemlockclaim.KindUnavailable, "fault")
+	}
+	row, found := f.rows[key]
+	return row, found, nil
+}
+
+func (f *fakeTable) Transact(ctx context.Context, changes []hemlockclaim.Change) ([]string, error) {
+	if f.latency > 0 {
+		select {
+		case <-time.After(f.latency):
+		case <-ctx.Done():
+			return nil, hemlockclaim.WrapError("write", hemlockclaim.KindUnknown, ctx.Err())
+		}
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.calls++
+	f.sizes = append(f.sizes, len(changes))
+	var now fault
+	if len(f.next) > 0 {
+		now, f.next = f.next[0], f.next[1:]
+	}
+	switch now {
+	case unsent:
+		return nil, hemlockclaim.NewError("write", hemlockclaim.KindUnavailable, "fault")
+	case late:
+		f.waiting = append(f.waiting, changes)
+		return nil, hemlockclaim.NewError("write", hemlockclaim.KindUnknown, "fault")
+	case lost:
+		f.apply(changes)
+		return nil, hemlockclaim.NewError("write", hemlockclaim.KindUnknown, "fault")
+	}
+	return f.apply(changes), nil
+}
+
+func (f *fakeTable) apply(changes []hemlockclaim.Change) []string {
+	var failed []string
+	for _, c := range changes {
+		if f.rows[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return failed
+	}
+	for _, c := range changes {
+		f.version++
+		c.Row.Version = f.version
+		f.rows[c.Key] = c.Row
+		if c.Delete {
+			delete(f.rows, c.Key)
+		}
+	}
+	return nil
+}
+
+// applyLate lets one late transaction take effect.
+func (f *fakeTable) applyLate(index int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.apply(f.waiting[index])
+	f.waiting = append(f.waiting[:index:index], f.waiting[index+1:]...)
+}
+
+func (f *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]hemlockclaim.Entry, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var entries []hemlockclaim.Entry
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			entries = append(entries, hemlockclaim.Entry{Key: key, Row: row})
+		}
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	return entries[:min(limit, len(entries))], nil
+}
+
+func (f *fakeTable) fail(faults ...fault) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.next = faults
+}
+
+func (f *fakeTable) claimer(options ...hemlockclaim.Option) *hemlockclaim.Claimer {
+	batcher := hemlockclaim.NewBatcher(hemlockclaim.NewTransactionWriter(f))
+	return hemlockclaim.New(hemlockclaim.NewStore(f, batcher), "orders", time.Hour, options...)
+}
+
+// keyAt returns a UUID version 7 that was issued at the given time.
+func keyAt(at time.Time, serial byte) string {
+	var id uuid.UUID
+	for i, milliseconds := 5, at.UnixMilli(); i >= 0; i, milliseconds = i-1, milliseconds>>8 {
+		id[i] = byte(milliseconds)
+	}
+	id[6], id[8], id[15] = 0x70, 0x80, serial
+	return id.String()
+}
+
+func wantKind(t testing.TB, err error, kind hemlockclaim.Kind) {
+	t.Helper()
+	if got := hemlockclaim.KindOf(err); got != kind {
+		t.Errorf("got %v, want the kind %q", err, kind)
+	}
+}
--- /dev/null
+++ b/hemlockplatform/transport_test.go
@@ -0,0 +1,137 @@
+package hemlockplatform_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hemlockhollow/hemlockplatform"
+	"hemlockhollow/standin/platform/store"
+)
+
+// breakingServer answers the first request of each connection and reads the second one without an answer. It returns
+// its address and a function that counts the POST requests that arrived.
+func breakingServer(t *testing.T) (string, func() int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var mutex sync.Mutex
+	posts := 0
+	serve := func(connection net.Conn) {
+		defer func() { _ = connection.Close() }()
+		reader := bufio.NewReader(connection)
+		for i := range 2 {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if request.Method == http.MethodPost {
+				mutex.Lock()
+				posts++
+				mutex.Unlock()
+			}
+			body := make([]byte, request.ContentLength)
+			_, _ = request.Body.Read(body)
+			if i == 0 {
+				_, _ = connection.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"rows\":[]}"))
+			}
+		}
+	}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(connection)
+		}
+	}()
+	return listener.Addr().String(), func() int {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return posts
+	}
+}
+
+// Guards against a silent repetition of a write by http.Transport when a kept-alive connection breaks after the
+// request was written. The plain client shows that the transport does repeat such a request.
+func TestNoSilentRepetition(t *testing.T) {
+	t.Run("plain client with an idempotency key", func(t *testing.T) {
+		address, posts := breakingServer(t)
+		client := &http.Client{Transport: &http.Transport{}}
+		for range 2 {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", strings.NewReader("x"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set("Idempotency-Key", "k")
+			response, err := client.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			buffer := make([]byte, 11)
+			_, _ = response.Body.Read(buffer)
+			_, _ = response.Body.Read(buffer)
+			_ = response.Body.Close()
+		}
+		if posts() != 3 {
+			t.Errorf("%d requests arrived for 2 calls, want 3", posts())
+		}
+	})
+	t.Run("platform client", func(t *testing.T) {
+		address, posts := breakingServer(t)
+		client := hemlockplatform.New(address)
+		if _, err := client.List(t.Context(), "", "", 1); err != nil {
+			t.Fatal(err)
+		}
+		_, err := client.Transact(t.Context(), []hemlockplatform.Write{{Key: "a", Value: []byte(`1`)}})
+		if kind := hemlockplatform.KindOf(err); kind != hemlockplatform.KindUnknown {
+			t.Errorf("the broken write ended with %v", err)
+		}
+		if posts() != 1 {
+			t.Errorf("%d requests arrived for one write", posts())
+		}
+	})
+}
+
+// Guards against calls that wait for a platform that does not answer, and against errors of another kind.
+func TestBreakerAndKinds(t *testing.T) {
+	p := newPlatform(t, hemlockplatform.WithBreaker(2, time.Minute), hemlockplatform.WithTimeout(100*time.Millisecond))
+	write := []hemlockplatform.Write{{Key: "a", Value: []byte(`1`)}}
+	wantKind := func(err error, want hemlockplatform.Kind) {
+		t.Helper()
+		if kind := hemlockplatform.KindOf(err); kind != want {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+	transact := func() error {
+		_, err := p.client.Transact(context.Background(), write)
+		return err
+	}
+	wantKind(transact(), "")
+	failed, err := p.client.Transact(context.Background(), write)
+	wantKind(err, hemlockplatform.KindConflict)
+	if len(failed) != 1 || failed[0] != "a" {
+		t.Errorf("failed conditions %v", failed)
+	}
+	_, err = p.client.Read(context.Background(), "b/c")
+	wantKind(err, hemlockplatform.KindNotFound)
+	_, err = p.client.Transact(context.Background(), nil)
+	wantKind(err, hemlockplatform.KindInvalid)
+	p.inject(t, store.Faults{CutOff: "hang"})
+	wantKind(transact(), hemlockplatform.KindUnknown)
+	_, err = p.client.Read(context.Background(), "a")
+	wantKind(err, hemlockplatform.KindNotApplied)
+	wantKind(transact(), hemlockplatform.KindUnavailable)
+	if snapshot := p.client.Snapshot(); snapshot.Breaker != "open" || snapshot.InFlight != 0 || snapshot.Unknown != 1 {
+		t.Errorf("%+v", snapshot)
+	}
+}
