Admit only as many requests of a class as its nested calls accept

Cause: an upload or status page ran its own work and was then refused at the overloaded orders service. One estimate of the service time for all classes also let requests begin that could not finish.

Change: a demand may name its class. The controller keeps the service time of each class for the deadline drop, and the share of it that is admitted; the share falls when nested calls are refused (outcome NestedShed) and doubles every 200 ms once they go through again.

--- a/hemlockadmission/controller.go
+++ b/hemlockadmission/controller.go
@@ -22,6 +22,7 @@
 	plain    *queue[T]
 	suspect  *queue[T] // suspects wait apart, so that one that must wait does not hold up the others
 	held     [hemlockcall.Priorities]time.Time
+	classes  map[string]*class // at most maxClasses and the shared one
 	sequence uint64
 	counters Counters
 }
@@ -42,14 +43,13 @@
 	InFlight int                  `json:"in-flight"`
 	Queued   int                  `json:"queued"`
 	Level    hemlockcall.Priority `json:"level"`
-	Service  time.Duration        `json:"service"`
 	Counters Counters             `json:"counters"`
 }
 
 // New returns a controller for a target with the given slots. Decide is called, outside the lock, once for each
 // ticket that was queued.
 func New[T any](slots int, decide func(*Ticket[T]), options ...Option) *Controller[T] {
-	c := &Controller[T]{decide: decide, settings: settings{hold: defaultHold}}
+	c := &Controller[T]{decide: decide, settings: settings{hold: defaultHold}, classes: map[string]*class{}}
 	for _, apply := range options {
 		apply(&c.settings)
 	}
@@ -74,7 +74,7 @@
 	case c.isLate(now, t):
 		c.counters.Late++
 		c.refuse(t, hemlockcall.ReasonDeadline, "the remaining time is too short to run the request")
-	case d.Priority < c.level(now):
+	case d.Priority < c.level(now) || !c.settings.off[Pacing] && !c.classOf(d.Class).pass(now):
 		c.refuseForLoad(now, t, &decided)
 	case c.hasSlotFor(t) && c.next() == nil:
 		c.admit(t)
@@ -93,6 +93,7 @@
 	if t.state == stateRunning {
 		t.state = stateFinished
 		c.limit.observe(now, o, c.inFlight)
+		c.classOf(t.Demand.Class).observe(now, o)
 		c.inFlight--
 		if t.Demand.Suspect {
 			c.suspects--
@@ -163,7 +164,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return Snapshot{Slots: c.limit.slots, Limit: c.limit.current(), InFlight: c.inFlight, Queued: c.queued(),
-		Level: c.level(now), Service: c.limit.mean, Counters: c.counters}
+		Level: c.level(now), Counters: c.counters}
 }
 
 func (c *Controller[T]) announce(decided []*Ticket[T]) {
--- a/hemlockadmission/decision.go
+++ b/hemlockadmission/decision.go
@@ -60,7 +60,7 @@
 		return false
 	}
 	left := t.deadline.Sub(now)
-	return left <= 0 || left < c.limit.shortest()
+	return left <= 0 || left < c.classOf(t.Demand.Class).shortest()
 }
 
 // level returns the highest priority that was refused because of load within the hold.
--- a/hemlockadmission/limit.go
+++ b/hemlockadmission/limit.go
@@ -27,8 +27,6 @@
 	decreased time.Time
 	// completed and late count the ends since the last look at time-outs.
 	completed, late int
-	mean            time.Duration // moving mean of the service time; 0 means unknown
-	deviation       time.Duration // moving mean of its absolute deviation
 }
 
 func (l *limit) setSlots(slots int, cold bool) {
@@ -39,7 +37,6 @@
 	case cold:
 		l.value = max(1, float64(slots)/coldShare)
 		l.ramping = true
-		l.mean, l.deviation = 0, 0
 	default:
 		l.value = min(max(l.value, l.floor()), float64(slots))
 	}
@@ -55,9 +52,6 @@
 
 // observe takes in the end of a run; inFlight counts it as still running.
 func (l *limit) observe(now time.Time, o Outcome, inFlight int) {
-	if o.Result == Completed {
-		l.estimate(o.Service)
-	}
 	if l.fixed || l.slots == 0 {
 		return
 	}
@@ -100,18 +94,3 @@
 
 // additive is the growth of the limit in slots for one limit's worth of completed requests.
 const additive = 2
-
-func (l *limit) estimate(service time.Duration) {
-	if l.mean == 0 {
-		l.mean, l.deviation = service, service/2
-		return
-	}
-	difference := service - l.mean
-	l.mean += time.Duration(float64(difference) * estimateWeight)
-	l.deviation += time.Duration(float64(difference.Abs()-l.deviation) * estimateWeight)
-}
-
-// shortest is a careful estimate of the time that a run needs: a request with less time left rarely finishes.
-func (l *limit) shortest() time.Duration {
-	return max(0, l.mean-2*l.deviation)
-}
--- a/hemlockadmission/option.go
+++ b/hemlockadmission/option.go
@@ -22,6 +22,8 @@
 	DeadlineDrop
 	// ColdStart starts a cold target at a low limit.
 	ColdStart
+	// Pacing admits only as many requests of a class as its nested calls are accepted.
+	Pacing
 
 	mechanisms
 )
--- a/hemlockadmission/property_test.go
+++ b/hemlockadmission/property_test.go
@@ -160,7 +160,7 @@
 	}
 	c := rapid.SampledFrom(running).Draw(w.t, "running")
 	c.done = true
-	o := Outcome{Result: Result(rapid.IntRange(0, int(Cancelled)).Draw(w.t, "result")),
+	o := Outcome{Result: Result(rapid.IntRange(0, int(NestedShed)).Draw(w.t, "result")),
 		Service: time.Duration(rapid.IntRange(1, 100).Draw(w.t, "service")) * time.Millisecond}
 	p.controller.Finish(w.now, c.ticket, o)
 	p.controller.Finish(w.now, c.ticket, o) // a second end has no effect
--- a/hemlockadmission/ticket.go
+++ b/hemlockadmission/ticket.go
@@ -20,6 +20,8 @@
 	Remaining time.Duration
 	// Suspect marks a request that was in flight when a target died; at most one runs at a time.
 	Suspect bool
+	// Class tells requests apart whose service times and nested calls differ; it may be empty.
+	Class string
 }
 
 // Result says how a run at the target ended.
@@ -36,6 +38,8 @@
 	TimedOut
 	// Cancelled means that the caller gave up for a reason of its own.
 	Cancelled
+	// NestedShed means that a nested call was refused for load, so that the work here was wasted.
+	NestedShed
 )
 
 // Outcome is the end of a run at the target.
--- a/hemlockbench/call.go
+++ b/hemlockbench/call.go
@@ -80,7 +80,9 @@
 		c.retries = c.share.Size()
 	}
 	c.unused = c.retries
-	s.meter.attempts++
+	if i.step == 0 && len(i.tried) == 1 && i.repeats == 0 && i.root.repeats > 0 {
+		s.meter.extra++ // a repeated sending that reached a target
+	}
 	if !s.reachable(i.node, to) {
 		s.loop.after(connectTime, func() { c.received(hemlockcall.Refuse(hemlockcall.ReasonConnection, "")) })
 	} else {
--- a/hemlockbench/caller.go
+++ b/hemlockbench/caller.go
@@ -71,9 +71,6 @@
 		reply(hemlockcall.Refuse(hemlockcall.ReasonRepeats, ""))
 		return
 	}
-	if r.repeats > 0 {
-		s.meter.extra++
-	}
 	i := &invocation{node: r.entry, root: r, deadline: r.begun + r.class.Timeout,
 		ledger: hemlockretry.NewLedger(r.class.Retries)}
 	i.done = func(refusal *hemlockcall.Refusal) {
--- a/hemlockbench/meter.go
+++ b/hemlockbench/meter.go
@@ -7,16 +7,15 @@
 
 // meter collects the figures of one run.
 type meter struct {
-	classes  map[*Class]int
-	done     []int // requests that started to run during the trigger and completed
-	attempts int   // calls sent to targets
-	extra    int   // repeated attempts and repeated sendings during the run
-	total    int   // customer requests
-	crashes  int
-	work     time.Duration // from the start of the trigger
-	wasted   time.Duration
-	began    bool
-	windows  []window
+	classes map[*Class]int
+	done    []int // requests that started to run during the trigger and completed
+	extra   int   // repeated attempts and repeated sendings during the run
+	total   int   // customer requests
+	crashes int
+	work    time.Duration   // from the start of the trigger
+	wasted  []time.Duration // by class
+	began   bool
+	windows []window
 }
 
 // window holds the completions of half a second.
@@ -29,6 +28,7 @@
 
 func newMeter(h House) *meter {
 	m := &meter{classes: map[*Class]int{}, done: make([]int, len(h.Classes)),
+		wasted:  make([]time.Duration, len(h.Classes)),
 		windows: make([]window, runEnd/windowLength+1)}
 	for i := range h.Classes {
 		m.classes[&h.Classes[i]] = i
@@ -46,7 +46,7 @@
 		return
 	}
 	if r.failed {
-		m.waste(r.work)
+		m.waste(r, r.work)
 		return
 	}
 	if triggered(r.started) {
@@ -64,15 +64,15 @@
 	}
 	m.work += work
 	if r.ended {
-		m.waste(work)
+		m.waste(r, work)
 		return
 	}
 	r.work += work
 }
 
-func (m *meter) waste(work time.Duration) {
+func (m *meter) waste(r *request, work time.Duration) {
 	if m.began {
-		m.wasted += work
+		m.wasted[m.classes[r.class]] += work
 	}
 }
 
--- a/hemlockbench/node.go
+++ b/hemlockbench/node.go
@@ -60,7 +60,7 @@
 		}
 	}
 	d := hemlockadmission.Demand{Priority: c.root.class.Priority, Depth: uint8(c.step), Remaining: remaining,
-		Suspect: suspect}
+		Suspect: suspect, Class: c.root.class.Service + "/" + c.root.class.Name}
 	if t := n.controller.Offer(now, d, c); !t.Queued {
 		n.decided(t)
 	}
@@ -129,7 +129,11 @@
 	nested.done = func(refusal *hemlockcall.Refusal) {
 		c.unused = nested.ledger.Close()
 		if refusal != nil {
-			n.finish(r, hemlockadmission.Failed, hemlockcall.Doubt(hemlockcall.ReasonTarget, ""))
+			result := hemlockadmission.Failed
+			if refusal.Reason == hemlockcall.ReasonOverload || refusal.Reason == hemlockcall.ReasonDeadline {
+				result = hemlockadmission.NestedShed
+			}
+			n.finish(r, result, hemlockcall.Doubt(hemlockcall.ReasonTarget, ""))
 			return
 		}
 		n.finish(r, hemlockadmission.Completed, nil)
--- a/hemlockbench/result.go
+++ b/hemlockbench/result.go
@@ -19,7 +19,8 @@
 	All float64 `json:"all"`
 	// Wasted is the part of the targets' work from the start of the trigger that was spent on requests that failed.
 	Wasted float64 `json:"wasted"`
-	// Attempts is one plus the repeated attempts and repeated sendings per customer request.
+	// Attempts is one plus, per customer request, the repeated attempts of calls and the callers' repeated sendings that
+	// were sent on to a target.
 	Attempts float64 `json:"attempts"`
 	// Recovery is in seconds by the rule of meter.recovered; negative when the run ended before.
 	Recovery float64 `json:"recovery"`
@@ -36,6 +37,8 @@
 	Share float64 `json:"share"`
 	Done  int     `json:"done"`
 	Ideal int     `json:"ideal"`
+	// Wasted is the part of all work that was spent on requests of the class that failed.
+	Wasted float64 `json:"wasted"`
 }
 
 func (s *simulation) result() Result {
@@ -52,11 +55,12 @@
 			share = float64(s.meter.done[i]) / total
 		}
 		done, could = done+weight*float64(s.meter.done[i]), could+weight*total
+		wasted := float64(s.meter.wasted[i]) / float64(max(1, s.meter.work))
+		r.Wasted += wasted
 		r.Classes = append(r.Classes, ClassShare{Class: c.Name, Share: share, Done: s.meter.done[i],
-			Ideal: int(math.Round(total))})
+			Ideal: int(math.Round(total)), Wasted: wasted})
 	}
 	r.All = done / could
-	r.Wasted = float64(s.meter.wasted) / float64(max(1, s.meter.work))
 	r.Attempts = 1 + float64(s.meter.extra)/float64(max(1, s.meter.total))
 	r.Recovery = s.meter.recovered().Seconds()
 	if r.Recovery < 0 {
--- a/hemlockbench/variant.go
+++ b/hemlockbench/variant.go
@@ -30,7 +30,7 @@
 func Variants() []Variant {
 	allAdmission := []hemlockadmission.Mechanism{hemlockadmission.AdaptiveLimit, hemlockadmission.PriorityOrder,
 		hemlockadmission.DepthOrder, hemlockadmission.Displacement, hemlockadmission.LevelHold,
-		hemlockadmission.DeadlineDrop, hemlockadmission.ColdStart}
+		hemlockadmission.DeadlineDrop, hemlockadmission.ColdStart, hemlockadmission.Pacing}
 	allRouting := []hemlockrouting.Mechanism{hemlockrouting.Outliers, hemlockrouting.EarlyShedding,
 		hemlockrouting.Probes}
 	baseline := func(name string, queue, retries int) Variant {
@@ -54,6 +54,7 @@
 		admission("-deeper", hemlockadmission.DepthOrder),
 		{Name: "-outlier", routing: []hemlockrouting.Mechanism{hemlockrouting.Outliers}},
 		admission("-cold", hemlockadmission.ColdStart),
+		admission("-pacing", hemlockadmission.Pacing),
 		{Name: "-ledger", noLedger: true, hopRetries: 2},
 		{Name: "-budget", noBudget: true},
 		{Name: "-suspect", noSuspects: true},
