Repeat a call refused for load only at a target that reports room

Cause: a call that one target refused because of load was refused by the next ones as well, and each attempt took its part of the overloaded nodes.

Ruled out: no repeats after a refusal for load; with few targets in a zone, one is often full while another has room.

--- a/hemlockrouting/choice.go
+++ b/hemlockrouting/choice.go
@@ -101,7 +101,19 @@
 	if healthy && e.bad || !e.eligible(tried) {
 		return false
 	}
-	return t.settings.off[EarlyShedding] || e.admits(now, p, t.settings.levelAge)
+	if t.settings.off[EarlyShedding] {
+		return true
+	}
+	return e.admits(now, p, t.settings.levelAge) && (len(tried) == 0 || e.hasRoom(now, t.settings.reportAge) || !t.refused(now, tried))
+}
+
+// refused reports whether a tried target refused a call because of load lately. A repeated attempt then goes only to
+// a target that reports room: the others most likely refuse it as well, and the attempts add to the overload.
+func (t *Table) refused(now time.Time, tried []string) bool {
+	return slices.ContainsFunc(tried, func(address string) bool {
+		e := t.entries[address]
+		return e != nil && !e.refusedAt.IsZero() && now.Sub(e.refusedAt) < t.settings.reportAge
+	})
 }
 
 // draws is how often a random draw may hit a target that cannot be used before all are looked at.
--- a/hemlockrouting/table.go
+++ b/hemlockrouting/table.go
@@ -131,6 +131,9 @@
 	if r.Feedback.Limit > 0 {
 		e.reported, e.reportedAt = r.Feedback, now
 	}
+	if r.Outcome == Refused {
+		e.refusedAt = now
+	}
 	if r.Outcome == Leaving {
 		e.leaving = true
 	}
