Let the share of a class recover faster and judge it by enough ends

Cause: after the storm a class with a small share waited for a second without failures and then needed 1.6 s to grow; with few ends, single failures halved the share of pages in the gray scenario. A bad target that refused its probe for load was probed again every second and refused that request too.

Change: the share doubles every 100 ms after 500 ms of calm; a verdict takes five ends or a second, and a fifth of them failed. A refused probe doubles the pause as a failed one does.

Ruled out: a higher floor of the share; it costs more waste than the recovery gains.

--- a/hemlockadmission/class.go
+++ b/hemlockadmission/class.go
@@ -4,7 +4,7 @@
 
 const (
 	// paceRefused is the part of a class's runs that may fail at a nested call before fewer are admitted.
-	paceRefused = 0.1
+	paceRefused = 0.2
 	// paceFloor and paceProbe keep some runs going, so that the end of the overload below is noticed.
 	paceFloor = 0.005
 	paceProbe = 500 * time.Millisecond
@@ -12,9 +12,12 @@
 	paceStep = 0.02
 	// paceCalm is how long no nested call must have been refused before the share doubles with each pause: from the floor
 	// to the whole takes 8 pauses, within the 5 s of the objective for recovery.
-	paceCalm = time.Second
+	paceCalm = 500 * time.Millisecond
+	// paceWait is how long a verdict waits for paceSamples ends.
+	paceWait    = time.Second
+	paceSamples = 5
 	// pacePause is the shortest time between two changes of the share.
-	pacePause = 200 * time.Millisecond
+	pacePause = 100 * time.Millisecond
 	// maxClasses bounds the classes that are told apart; a service file declares a few.
 	maxClasses = 64
 )
@@ -79,8 +82,8 @@
 	case age < pacePause || !calm && age < k.notice:
 		return
 	case float64(k.failed) > paceRefused*float64(ends):
-		if k.share == 1 && k.failed == 1 {
-			return // one failure alone is no sign of overload
+		if ends < paceSamples && age < paceWait {
+			return // too few for a verdict
 		}
 		k.share = max(paceFloor, k.share*max(0.5, float64(k.through)/float64(ends)))
 	case k.through == 0:
--- a/hemlockrouting/outlier.go
+++ b/hemlockrouting/outlier.go
@@ -54,7 +54,7 @@
 		return
 	}
 	e.probing = false
-	if r.Outcome == Refused || r.Outcome == Cancelled {
+	if r.Outcome == Cancelled {
 		e.probeAt = now.Add(probeFirst) // says nothing about the target's health
 		return
 	}
