Pass over targets that refused the same priority lately

Cause: a call refused by the pace of its class was repeated at the next target of the service, which reports room and refuses it for the same reason.

Change: after a refusal for load, Pick also passes over targets whose level equals the priority of the call, or that refused lately when the call is sheddable. Such an end of a call does not hold up lower priorities at the caller's node: the refusal is the target's, which holds by itself.

Ruled out: no repeat after a refusal by a target that reports room.

--- a/hemlockrouting/choice.go
+++ b/hemlockrouting/choice.go
@@ -21,7 +21,7 @@
 		return e, ""
 	}
 	kind := g.whyNone(tried)
-	if kind == KindShed {
+	if kind == KindShed && len(tried) == 0 { // after an attempt, the refusal is the target's, which holds by itself
 		g.held[p] = now.Add(t.settings.levelAge)
 	}
 	return nil, kind
@@ -104,16 +104,25 @@
 	if t.settings.off[EarlyShedding] {
 		return true
 	}
-	return e.admits(now, p, t.settings.levelAge) && (len(tried) == 0 || e.hasRoom(now, t.settings.reportAge) || !t.refused(now, tried))
+	return e.admits(now, p, t.settings.levelAge) && t.mayRepeat(now, e, p, tried)
 }
 
-// refused reports whether a tried target refused a call because of load lately. A repeated attempt then goes only to
-// a target that reports room: the others most likely refuse it as well, and the attempts add to the overload.
-func (t *Table) refused(now time.Time, tried []string) bool {
-	return slices.ContainsFunc(tried, func(address string) bool {
-		e := t.entries[address]
-		return e != nil && !e.refusedAt.IsZero() && now.Sub(e.refusedAt) < t.settings.reportAge
-	})
+// mayRepeat reports whether the target may get a call after the tried ones. After a refusal for load, the target must
+// report room and must not have refused the same priority lately: its level equals the priority if it did. Such
+// attempts most likely fail and add to the overload.
+func (t *Table) mayRepeat(now time.Time, e *entry, p hemlockcall.Priority, tried []string) bool {
+	isRecent := func(at time.Time) bool { return !at.IsZero() && now.Sub(at) < t.settings.reportAge }
+	if !slices.ContainsFunc(tried, func(address string) bool {
+		other := t.entries[address]
+		return other != nil && isRecent(other.refusedAt)
+	}) {
+		return true
+	}
+	if p == hemlockcall.Sheddable && isRecent(e.refusedAt) {
+		return false
+	}
+	return !isRecent(e.reportedAt) || e.reported.InFlight < e.reported.Limit &&
+		(p == hemlockcall.Sheddable || e.reported.Level < p)
 }
 
 // draws is how often a random draw may hit a target that cannot be used before all are looked at.
--- a/hemlockrouting/target.go
+++ b/hemlockrouting/target.go
@@ -98,8 +98,3 @@
 func (e *entry) admits(now time.Time, p hemlockcall.Priority, levelAge time.Duration) bool {
 	return p >= e.reported.Level || now.Sub(e.reportedAt) >= levelAge
 }
-
-// hasRoom reports whether the target has free slots, as far as its last report tells.
-func (e *entry) hasRoom(now time.Time, reportAge time.Duration) bool {
-	return e.reported.Limit == 0 || now.Sub(e.reportedAt) >= reportAge || e.reported.InFlight < e.reported.Limit
-}
