--- a/hemlockrouting/target.go
+++ b/hemlockrouting/target.go
@@ -72,6 +72,7 @@
 
 	reported   hemlockcall.Feedback
 	reportedAt time.Time // zero when nothing was reported
+	refusedAt  time.Time // when it last refused a call because of load; zero for never
 
 	latency  time.Duration // moving mean over completed and timed-out calls; 0 means unknown
 	samples  int
