Count repeated attempts of the bench when they are sent

Cause: the bench counted an attempt when the allowance was spent, also when no target was picked for it.

Change: repeated attempts and repeated sendings count when a call goes to a target.

--- a/hemlockbench/call.go
+++ b/hemlockbench/call.go
@@ -31,6 +31,7 @@
 	tried    []string
 	reroutes int
 	repeats  int
+	repeated bool // at least one attempt was made before
 	ended    bool
 	done     func(*hemlockcall.Refusal)
 }
@@ -80,8 +81,11 @@
 		c.retries = c.share.Size()
 	}
 	c.unused = c.retries
-	if i.step == 0 && len(i.tried) == 1 && i.repeats == 0 && i.root.repeats > 0 {
-		s.meter.extra++ // a repeated sending that reached a target
+	switch {
+	case i.repeated:
+		s.meter.repeats++
+	case i.step == 0 && i.root.repeats > 0:
+		s.meter.resent++
 	}
 	if !s.reachable(i.node, to) {
 		s.loop.after(connectTime, func() { c.received(hemlockcall.Refuse(hemlockcall.ReasonConnection, "")) })
@@ -163,7 +167,7 @@
 		i.end(refusal)
 		return
 	}
-	s.meter.extra++
+	i.repeated = true
 	s.loop.after(time.Duration(s.random.Int64N(int64(longestBackoff))), i.attempt)
 }
 
--- a/hemlockbench/meter.go
+++ b/hemlockbench/meter.go
@@ -9,7 +9,8 @@
 type meter struct {
 	classes map[*Class]int
 	done    []int // requests that started to run during the trigger and completed
-	extra   int   // repeated attempts and repeated sendings during the run
+	repeats int   // repeated attempts of calls
+	resent  int   // repeated sendings of which a call was sent to a target
 	total   int   // customer requests
 	crashes int
 	work    time.Duration   // from the start of the trigger
--- a/hemlockbench/result.go
+++ b/hemlockbench/result.go
@@ -22,6 +22,8 @@
 	// Attempts is one plus, per customer request, the repeated attempts of calls and the callers' repeated sendings that
 	// were sent on to a target.
 	Attempts float64 `json:"attempts"`
+	// Resent is the part of Attempts that the callers' repeated sendings make up.
+	Resent float64 `json:"resent"`
 	// Recovery is in seconds by the rule of meter.recovered; negative when the run ended before.
 	Recovery float64 `json:"recovery"`
 	// Inversions is the largest number, at one node, of requests admitted within a second after a request of a higher
@@ -61,7 +63,8 @@
 			Ideal: int(math.Round(total)), Wasted: wasted})
 	}
 	r.All = done / could
-	r.Attempts = 1 + float64(s.meter.extra)/float64(max(1, s.meter.total))
+	r.Attempts = 1 + float64(s.meter.repeats+s.meter.resent)/float64(max(1, s.meter.total))
+	r.Resent = float64(s.meter.resent) / float64(max(1, s.meter.total))
 	r.Recovery = s.meter.recovered().Seconds()
 	if r.Recovery < 0 {
 		r.Recovery = -1
