Check the routing properties with rapid and measure the cost of decisions

Cause: probes, early shedding and the bounded overflow had no checks.

Ruled out: checking for load after the verdict is cleared; with random draws that a property test may choose, a healthy target can go without a pick for any time.

--- /dev/null
+++ b/hemlockrouting/property_test.go
@@ -0,0 +1,192 @@
+package hemlockrouting
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockerror"
+)
+
+// without switches a mechanism off, to see the properties fail that depend on it.
+var without = flag.Int("without", -1, "mechanism to switch off, by number")
+
+func switchedOff() Option {
+	if *without < 0 {
+		return Without()
+	}
+	return Without(Mechanism(*without))
+}
+
+func targets(zones []string, each, slots int) []Target {
+	var all []Target
+	for _, zone := range zones {
+		for i := range each {
+			all = append(all, Target{Address: fmt.Sprintf("%s-%d", zone, i), Zone: zone, Service: "s", Slots: slots,
+				Ready: true})
+		}
+	}
+	return all
+}
+
+func drawTable(t *rapid.T) *Table {
+	random := rapid.IntRange(0, 1<<20)
+	return New("a", func(n int) int { return random.Draw(t, "random") % n }, switchedOff())
+}
+
+// Guards against a healthy target that stays without load after it was taken for bad, at any mix of priorities.
+func TestWronglyBadTargetGetsLoadWithinFiveSeconds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		table := drawTable(t)
+		table.Replace(now, targets([]string{"a"}, rapid.IntRange(2, 5).Draw(t, "targets"), 10))
+		for range failuresForBad {
+			table.Use(now, "a-0")
+			table.Done(now, "a-0", Result{Outcome: Failed, Latency: time.Millisecond})
+		}
+		lowest := rapid.IntRange(0, 2).Draw(t, "lowest priority")
+		loaded := now
+		for now.Sub(start) < 20*time.Second {
+			now = now.Add(time.Duration(rapid.IntRange(10, 400).Draw(t, "step")) * time.Millisecond)
+			if now.Sub(loaded) > 5*time.Second {
+				t.Fatalf("no load for %v", now.Sub(loaded))
+			}
+			p := hemlockcall.Priority(rapid.IntRange(lowest, 2).Draw(t, "priority"))
+			target, err := table.Pick(now, "s", p, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := Result{Latency: time.Millisecond}
+			if target.Address == "a-0" {
+				loaded = now
+				r.Outcome = rapid.SampledFrom([]Outcome{Completed, Completed, Failed, TimedOut, Cancelled, Refused}).
+					Draw(t, "outcome")
+			}
+			table.Done(now, target.Address, r)
+			if target.Address == "a-0" && r.Outcome == Completed {
+				if table.entries["a-0"].bad {
+					t.Fatal("a completed probe did not clear the verdict")
+				}
+				return
+			}
+		}
+	})
+}
+
+// Guards against a slow target that keeps its share of the calls while its load report says that it is idle.
+func TestSlowTargetIsPickedRarely(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		table := drawTable(t)
+		table.Replace(now, targets([]string{"a"}, rapid.IntRange(3, 6).Draw(t, "targets"), 10))
+		slow := 0
+		const calls = 400
+		for range calls {
+			now = now.Add(10 * time.Millisecond)
+			target, err := table.Pick(now, "s", hemlockcall.Sheddable, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := Result{Latency: 50 * time.Millisecond, Feedback: hemlockcall.Feedback{Limit: 10}}
+			if target.Address == "a-0" {
+				slow++
+				r.Latency = 10 * r.Latency
+			}
+			table.Done(now, target.Address, r)
+		}
+		if slow > calls/10 {
+			t.Errorf("%d of %d calls went to the slow target", slow, calls)
+		}
+	})
+}
+
+// Guards against sheddable calls that are sent while fresh levels refuse them, against levels that outlive their
+// second, and against a lower priority that passes within a second after a higher one was shed.
+func TestEarlySheddingFollowsFreshLevels(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		table := drawTable(t)
+		table.Replace(now, targets([]string{"a"}, 2, 10))
+		var reported [2]time.Time
+		var levels [2]hemlockcall.Priority
+		var shed [hemlockcall.Priorities]time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "step")) * time.Millisecond)
+			if i := rapid.IntRange(0, 3).Draw(t, "report"); i < 2 {
+				levels[i], reported[i] = hemlockcall.Priority(rapid.IntRange(0, 2).Draw(t, "level")), now
+				address := fmt.Sprintf("a-%d", i)
+				table.Use(now, address)
+				table.Done(now, address, Result{Feedback: hemlockcall.Feedback{Level: levels[i], Limit: 10}})
+				continue
+			}
+			p := hemlockcall.Priority(rapid.IntRange(0, 2).Draw(t, "priority"))
+			admitted := false
+			for i := range levels {
+				admitted = admitted || levels[i] <= p || now.Sub(reported[i]) >= time.Second
+			}
+			for higher := p + 1; int(higher) < hemlockcall.Priorities; higher++ {
+				admitted = admitted && (shed[higher].IsZero() || now.Sub(shed[higher]) >= time.Second)
+			}
+			target, err := table.Pick(now, "s", p, nil)
+			if isShed := hemlockerror.KindOf[Kind](err) == KindShed; isShed == admitted {
+				t.Fatalf("%v: shed is %v, levels %v", p, isShed, levels)
+			}
+			if err != nil {
+				shed[p] = now
+				continue
+			}
+			table.Done(now, target.Address, Result{Outcome: Cancelled})
+		}
+	})
+}
+
+// Guards against overload that spreads: sheddable calls leave a zone whose targets refuse them only in a small share.
+func TestSheddableOverflowIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		table := drawTable(t)
+		table.Replace(now, targets([]string{"a", "b"}, 2, 10))
+		left := 0
+		for range 200 {
+			for _, address := range []string{"a-0", "a-1"} {
+				table.Use(now, address)
+				table.Done(now, address, Result{Feedback: hemlockcall.Feedback{Level: hemlockcall.Important, Limit: 10}})
+			}
+			if target, err := table.Pick(now, "s", hemlockcall.Sheddable, nil); err == nil {
+				left++
+				table.Done(now, target.Address, Result{})
+			}
+		}
+		if left > 200/10+1 {
+			t.Errorf("%d of 200 sheddable calls left the zone", left)
+		}
+	})
+}
+
+func BenchmarkPickDone(b *testing.B) {
+	for _, count := range []int{10, 50, 300} {
+		b.Run(fmt.Sprintf("targets=%d", count), func(b *testing.B) {
+			state := uint32(1)
+			table := New("a", func(n int) int {
+				state = state*1664525 + 1013904223
+				return int(state>>8) % n
+			})
+			table.Replace(start, targets([]string{"a", "b", "c"}, (count+2)/3, 100))
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(50 * time.Microsecond)
+				target, err := table.Pick(now, "s", hemlockcall.Important, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				table.Done(now, target.Address, Result{Latency: time.Millisecond,
+					Feedback: hemlockcall.Feedback{InFlight: int(state % 80), Limit: 100}})
+			}
+		})
+	}
+}
