Introduce new members to each other, keep their learned views quiet

Cause: 400 nodes that start together with 10 contacts did not converge within 3 minutes: 150 of them knew only the contacts, and the contacts' byte budget went into answers to their probes.

Change: a probe says that its sender is new; a node that cannot exchange views now answers with three random members. What a new node learns from answers is not passed on as news.

--- a/hemlockmember/exchange.go
+++ b/hemlockmember/exchange.go
@@ -21,7 +21,11 @@
 
 // settled reports whether a difference between views is worth an exchange. A node that has just started does not wait.
 func (g *Gossip) settled(now time.Time) bool {
-	return now.Sub(g.lastChange) >= calm || now.Sub(g.started) < young
+	return now.Sub(g.lastChange) >= calm || g.isNew(now)
+}
+
+func (g *Gossip) isNew(now time.Time) bool {
+	return now.Sub(g.started) < young
 }
 
 // compare starts an exchange of the buckets that differ from those of an acknowledgement.
--- a/hemlockmember/gossip.go
+++ b/hemlockmember/gossip.go
@@ -160,25 +160,25 @@
 func (g *Gossip) Announce(now time.Time, state State, slots int) []Message {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if state == g.self.State && slots == g.self.Slots {
-		return nil
-	}
-	g.self.State, g.self.Slots = min(state, Leaving), slots
-	g.raise(now, g.self.Incarnation)
-	g.flush(now)
-	return g.take()
+	return g.announce(now, g.self.Service, state, slots)
 }
 
 // AnnounceService is Announce for a target that names its service only after the node's start.
 func (g *Gossip) AnnounceService(now time.Time, service string, state State, slots int) []Message {
 	g.mutex.Lock()
-	changed := g.self.Service != service
-	g.self.Service = service
-	if changed && state == g.self.State && slots == g.self.Slots {
-		g.raise(now, g.self.Incarnation)
+	defer g.mutex.Unlock()
+	return g.announce(now, service, state, slots)
+}
+
+func (g *Gossip) announce(now time.Time, service string, state State, slots int) []Message {
+	if service == g.self.Service && state == g.self.State && slots == g.self.Slots {
+		return nil
 	}
-	g.mutex.Unlock()
-	return g.Announce(now, state, slots)
+	// A member never declares itself dead.
+	g.self.Service, g.self.State, g.self.Slots = service, min(state, Leaving), slots
+	g.raise(now, g.self.Incarnation)
+	g.flush(now)
+	return g.take()
 }
 
 // raise gives the node an incarnation above the given one and spreads its record.
--- a/hemlockmember/gossip_test.go
+++ b/hemlockmember/gossip_test.go
@@ -124,3 +124,13 @@
 	w.nodes = w.nodes[:len(w.nodes)-1]
 	w.within(t, 5*time.Second, "restart", w.converged)
 }
+
+// Guards against nodes that start together and stay with their only contact, whose budget goes into answers.
+func TestManyNodesStartTogether(t *testing.T) {
+	w := newNetwork(13)
+	w.add("a1", 1)
+	for _, zone := range []string{"a1", "a2", "b1"} {
+		w.add(zone, 70, w.nodes[0].Self().Address)
+	}
+	t.Logf("211 nodes joined in %v", w.within(t, time.Minute, "join", w.converged))
+}
--- a/hemlockmember/message.go
+++ b/hemlockmember/message.go
@@ -40,7 +40,8 @@
 	Suspects             []hemlocksuspect.Record
 	Subject              string
 	Buckets              []uint32
-	Alive                bool
+	// Alive is the result of an Answer; in a probe it says that the sender is new and needs members.
+	Alive bool
 }
 
 // Overhead is the estimated cost of a message beyond its encoded size: about 45 bytes of drpc frames (method name, open
--- a/hemlockmember/probe.go
+++ b/hemlockmember/probe.go
@@ -252,7 +252,7 @@
 
 func (g *Gossip) sendProbe(kind Kind, address string, members ...Member) {
 	digests := []uint64{g.suspectDigest(g.lastTick), g.view.sum()}
-	g.send(Message{To: address, Kind: kind, Digests: digests, Members: members})
+	g.send(Message{To: address, Kind: kind, Digests: digests, Members: members, Alive: g.isNew(g.lastTick)})
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- a/hemlockmember/receive.go
+++ b/hemlockmember/receive.go
@@ -1,6 +1,9 @@
 package hemlockmember
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // askersAtOnce bounds those who wait for one answer; further ones ask again a second later.
 const askersAtOnce = 16
@@ -19,7 +22,7 @@
 		g.settle(from, w, true)
 	}
 	delete(g.claims, from)
-	g.absorb(now, from, m.Kind == News, m.Members)
+	g.absorb(now, from, m.Kind, m.Members)
 	g.absorbSuspects(now, from, m)
 	switch m.Kind {
 	case Probe, Check:
@@ -45,8 +48,10 @@
 }
 
 // absorb merges records of a peer. A death is believed at once only as news of a trusted sender; see doubt.
-func (g *Gossip) absorb(now time.Time, from string, isNews bool, records []Member) {
+func (g *Gossip) absorb(now time.Time, from string, kind Kind, records []Member) {
 	sender, _ := g.view.Get(from)
+	// What a new node learns from answers is news to nobody else; passing on a whole view would use up the budget.
+	quiet := (kind == Ack || kind == Records) && g.isNew(now)
 	for _, m := range records {
 		if !m.valid() {
 			continue
@@ -57,11 +62,14 @@
 		}
 		if m.State == Dead {
 			subject, _ := g.view.Get(m.Address)
-			if g.doubt(now, m, isNews && g.trusts(sender, subject)) {
+			if g.doubt(now, m, kind == News && g.trusts(sender, subject)) {
 				continue
 			}
 		}
 		g.apply(now, m, from)
+		if quiet {
+			delete(g.news, m.Address)
+		}
 	}
 }
 
@@ -156,9 +164,28 @@
 			ack.Digests = append([]uint64{suspects}, g.view.Digest()...)
 		}
 	}
+	if m.Alive && len(ack.Digests) <= 1 && len(m.Digests) == 2 && m.Digests[1] != g.view.sum() {
+		ack.Members = append(ack.Members, g.introductions(from)...)
+	}
 	g.send(ack)
 }
 
+// introductions are a few random members for a new node that this node cannot give its view now. When many nodes start
+// at once, they would otherwise all stay with the few contacts, whose budget goes into answers to their probes.
+func (g *Gossip) introductions(to string) []Member {
+	zone := g.self.Zone
+	if m, ok := g.view.Get(to); ok && m.Zone != "" {
+		zone = m.Zone
+	}
+	var members []Member
+	for range ownNeighbours {
+		if m, ok := g.view.Get(g.view.sample(zone, g.random)); ok && m.Address != to && !slices.Contains(members, m) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // assist probes a member for another node and answers later. What was heard before the question does not count: it may
 // be older than the asker's own silence and would only delay the detection.
 func (g *Gossip) assist(now time.Time, from, subject string) {
--- a/hemlocksuspect/table.go
+++ b/hemlocksuspect/table.go
@@ -41,7 +41,8 @@
 	Origin string
 	// Crash distinguishes the crashes that one node saw, across restarts of the node.
 	Crash uint64
-	// Cleared marks a record that a completed run has withdrawn. It never becomes valid again.
+	// Cleared marks a record that a completed run has withdrawn. It never becomes valid again. On the wire, a cleared
+	// record has 0 crashes and any other has 1.
 	Cleared bool
 	// Age is the time since the crash.
 	Age time.Duration
