Add the capacity measurements and a smaller body buffer

Cause: a request body of 1 KiB took a buffer of 33 KiB.

Change: standin/measure reads processor time, memory, bytes and latency of real processes; the body buffer has room for the body and 512 bytes; profiles are served to operators at /debug/pprof/.

--- a/hemlocknode/body.go
+++ b/hemlocknode/body.go
@@ -75,7 +75,7 @@
 		return nil, hemlockcall.Refuse(hemlockcall.ReasonTooLarge, errBodyTooLarge.Error())
 	}
 	for len(body.prefix) < readAheadSize {
-		if cap(body.prefix)-len(body.prefix) < readChunk && !body.grow(nextSize(length, int64(cap(body.prefix)))) {
+		if len(body.prefix) == cap(body.prefix) && !body.grow(nextSize(length, int64(cap(body.prefix)))) {
 			body.close()
 			return nil, hemlockcall.Refuse(hemlockcall.ReasonOverload, "no memory for request bodies")
 		}
@@ -97,13 +97,13 @@
 	return body, nil
 }
 
-// nextSize returns the next buffer size: enough for a body of a known length, doubling otherwise. One extra chunk
-// leaves room for the read that reports the end.
+// nextSize returns the next buffer size: enough for a body of a known length, doubling otherwise. The extra room is
+// for the read that reports the end.
 func nextSize(length, current int64) int64 {
 	if current == 0 && length > 0 {
-		return min(length, readAheadSize) + readChunk
+		return min(length, readAheadSize) + bytes.MinRead
 	}
-	return max(2*current, 2*readChunk)
+	return max(2*current, readChunk)
 }
 
 func (b *requestBody) grow(size int64) bool {
--- a/hemlockoperator/listener.go
+++ b/hemlockoperator/listener.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
@@ -74,6 +75,8 @@
 	}))
 	container := restful.NewContainer()
 	container.Add(service)
+	container.HandleWithFilter("/debug/pprof/", http.HandlerFunc(pprof.Index))
+	container.HandleWithFilter("/debug/pprof/profile", http.HandlerFunc(pprof.Profile))
 	return &http.Server{Handler: container, ReadHeaderTimeout: readHeaderTimeout}
 }
 
--- a/standin/harness/process.go
+++ b/standin/harness/process.go
@@ -111,3 +111,8 @@
 func (p *Process) WriteOutput(w io.Writer) {
 	_, _ = io.WriteString(w, "--- "+p.Name+"\n"+p.Output())
 }
+
+// StartLoad starts the load client of a folder with the arguments.
+func StartLoad(folder string, arguments ...string) (*Process, error) {
+	return start(folder, "load", "load", arguments...)
+}
--- /dev/null
+++ b/standin/measure/inflight.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"hemlockhollow/standin/harness"
+)
+
+const (
+	inFlightGroup = 80
+	// inFlightService is how long a request runs; with a rate of N/4 per second, N requests are in flight.
+	inFlightService = 4 * time.Second
+)
+
+// measureInFlight holds requests of 1 KiB open at a slow target and reads the memory of both nodes.
+func measureInFlight(binaries string) error {
+	fmt.Println("in flight  RSS MiB entry  RSS MiB served")
+	for i, count := range []int{0, 100, 200, 400, 800} {
+		if err := inFlight(binaries, inFlightGroup+i, count); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func inFlight(binaries string, group, count int) error {
+	c := harness.New(binaries, group)
+	defer c.Stop()
+	if err := c.StartPlatform(); err != nil {
+		return err
+	}
+	entry := &harness.Host{Zone: "zone-a", Service: "other"}
+	served := &harness.Host{Zone: "zone-a", Service: "echo",
+		TargetArguments: []string{"--slots", "2000", "--service-time", inFlightService.String(), "--spread", "0"}}
+	for _, h := range []*harness.Host{entry, served} {
+		if err := c.Add(h); err != nil {
+			return err
+		}
+	}
+	folder, err := os.MkdirTemp("", "measure")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	file := filepath.Join(folder, "echo.hcl")
+	text := `service "echo" {
+  slots         = 2000
+  connections   = 4000
+  default-class = "slow"
+  class "slow" {
+    priority = "critical"
+    repeat   = "safe"
+    timeout  = "20s"
+    retries  = 0
+  }
+}
+`
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	if _, err := c.Publish(file); err != nil {
+		return err
+	}
+	if err := c.AwaitReady(time.Minute, 1, entry, served); err != nil {
+		return err
+	}
+	if count > 0 {
+		load, err := c.Load([]*harness.Host{entry}, "--duration", "24s", "--timeout", "30s",
+			"--class", fmt.Sprintf("slow:POST:/echo/{n}:%d:1024", count/4))
+		if err != nil {
+			return err
+		}
+		defer load.Kill()
+	}
+	time.Sleep(16 * time.Second)
+	state, err := c.State(served)
+	if err != nil {
+		return err
+	}
+	first, second, err := both(entry, served)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%9d  %13.1f  %14.1f\n", state.Admission.InFlight, float64(first.resident)/mebibyte,
+		float64(second.resident)/mebibyte)
+	return nil
+}
--- /dev/null
+++ b/standin/measure/path.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"hemlockhollow/standin/harness"
+)
+
+const (
+	pathTime  = 8 * time.Second
+	pathGroup = 70
+)
+
+// pathFile is a service without work: what a call takes is the path alone.
+const pathFile = `service "echo" {
+  slots         = 400
+  connections   = 1000
+  default-class = "lookup"
+  class "lookup" {
+    priority = "critical"
+    repeat   = "safe"
+    timeout  = "5s"
+    retries  = 0
+  }
+}
+`
+
+// measurePath sends 1 KiB calls from the entry node through the node beside the target, and next to them the same
+// calls directly to the target, in the same run.
+func measurePath(binaries string) error {
+	c, entry, served, err := pathCluster(binaries)
+	defer c.Stop()
+	if err != nil {
+		return err
+	}
+	fmt.Println("calls/s  direct p50/p99 ms  through p50/p99 ms  added p99 ms  core % entry  core % served  us/call")
+	for _, rate := range []int{50, 100, 200, 400, 800, 1600} {
+		if err := pathAt(binaries, c, entry, served, rate); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func pathCluster(binaries string) (c *harness.Cluster, entry, served *harness.Host, err error) {
+	c = harness.New(binaries, pathGroup)
+	if err = c.StartPlatform(); err != nil {
+		return c, nil, nil, err
+	}
+	// The entry node's own target runs another service, so that every call crosses two nodes.
+	entry = &harness.Host{Zone: "zone-a", Service: "other", TargetArguments: []string{"--slots", "10"}}
+	served = &harness.Host{Zone: "zone-a", Service: "echo", TargetArguments: []string{"--slots", "400", "--service-time", "1us"}}
+	for _, h := range []*harness.Host{entry, served} {
+		if err = c.Add(h); err != nil {
+			return c, nil, nil, err
+		}
+	}
+	folder, err := os.MkdirTemp("", "measure")
+	if err != nil {
+		return c, nil, nil, err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	file := filepath.Join(folder, "echo.hcl")
+	if err = os.WriteFile(file, []byte(pathFile), 0o600); err != nil {
+		return c, nil, nil, err
+	}
+	if _, err = c.Publish(file); err != nil {
+		return c, nil, nil, err
+	}
+	if err = c.AwaitReady(time.Minute, 1, entry, served); err != nil {
+		return c, nil, nil, err
+	}
+	// The limit of a cold target rises under load only.
+	_, err = loadAt(binaries, entry.Callers(), "/echo/{n}?size=1024", 400, 5*time.Second)
+	return c, entry, served, err
+}
+
+// loadAt sends calls at a rate and returns the class result.
+func loadAt(binaries, address, path string, rate int, duration time.Duration) (harness.ClassResult, error) {
+	p, err := harness.StartLoad(binaries, "--entries", address, "--duration", duration.String(),
+		"--class", fmt.Sprintf("echo:POST:%s:%d:1024", path, rate))
+	if err != nil {
+		return harness.ClassResult{}, err
+	}
+	results, err := harness.Results(p, time.Minute)
+	if err != nil {
+		return harness.ClassResult{}, err
+	}
+	return results.Classes[0], nil
+}
+
+func pathAt(binaries string, c *harness.Cluster, entry, served *harness.Host, rate int) error {
+	direct, err := loadAt(binaries, served.TargetAddress(), "/{n}?size=1024", rate, pathTime)
+	if err != nil {
+		return err
+	}
+	entryBefore, servedBefore, err := both(entry, served)
+	if err != nil {
+		return err
+	}
+	through, err := loadAt(binaries, entry.Callers(), "/echo/{n}?size=1024", rate, pathTime)
+	if err != nil {
+		return err
+	}
+	entryAfter, servedAfter, err := both(entry, served)
+	if err != nil {
+		return err
+	}
+	processor := entryAfter.processor - entryBefore.processor + servedAfter.processor - servedBefore.processor
+	fmt.Printf("%7d  %8.2f / %6.2f  %9.2f / %6.2f  %12.2f  %12.1f  %13.1f  %7.0f", rate, direct.P50, direct.P99,
+		through.P50, through.P99, through.P99-direct.P99, core(entryBefore, entryAfter), core(servedBefore, servedAfter),
+		float64(processor.Microseconds())/float64(through.Sent))
+	if through.Ends["whole"] != through.Sent || direct.Ends["whole"] != direct.Sent {
+		fmt.Printf("  not whole: %v %v, direct %v", through.Ends, through.Reasons, direct.Ends)
+	}
+	fmt.Println()
+	return nil
+}
+
+func both(entry, served *harness.Host) (first, second usage, err error) {
+	if first, err = usageOf(entry.Node); err != nil {
+		return first, second, err
+	}
+	second, err = usageOf(served.Node)
+	return first, second, err
+}
--- /dev/null
+++ b/standin/measure/rest.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"hemlockhollow/standin/harness"
+)
+
+const (
+	restWarmUp = 10 * time.Second
+	restTime   = 20 * time.Second
+	// restGroup is the second byte of the addresses; each size gets the next one.
+	restGroup = 60
+)
+
+// measureRest starts nodes without load, in five availability zones of two regions, each with an idle target.
+func measureRest(binaries string) error {
+	fmt.Println("nodes  core %   RSS MiB  gossip B/s  messages/s")
+	for i, size := range []int{10, 30, 60, 120} {
+		if err := restOf(binaries, restGroup+i, size); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func restOf(binaries string, group, size int) error {
+	c := harness.New(binaries, group)
+	defer c.Stop()
+	if err := c.StartPlatform(); err != nil {
+		return err
+	}
+	for i := range size {
+		zone := i % 5
+		h := &harness.Host{
+			Zone:          fmt.Sprintf("zone-%d", zone),
+			Service:       []string{"catalogue", "orders", "studio", "counter"}[i%4],
+			NodeArguments: []string{"--region", fmt.Sprintf("region-%d", zone/3)},
+		}
+		if err := c.Add(h); err != nil {
+			return err
+		}
+	}
+	files, err := filepath.Glob("examples/kilwa/*.hcl")
+	if err != nil {
+		return err
+	}
+	if _, err := c.Publish(files...); err != nil {
+		return err
+	}
+	if err := c.AwaitReady(time.Minute, 1, c.Hosts...); err != nil {
+		return err
+	}
+	time.Sleep(restWarmUp)
+	bytesBefore, messagesBefore, err := gossipOf(c)
+	if err != nil {
+		return err
+	}
+	before, err := usageOfNodes(c)
+	if err != nil {
+		return err
+	}
+	time.Sleep(restTime)
+	after, err := usageOfNodes(c)
+	if err != nil {
+		return err
+	}
+	bytesAfter, messagesAfter, err := gossipOf(c)
+	if err != nil {
+		return err
+	}
+	seconds := after.at.Sub(before.at).Seconds()
+	fmt.Printf("%5d  %6.2f  %8.1f  %10.0f  %10.1f\n", size, core(before, after), float64(after.resident)/mebibyte,
+		float64(bytesAfter-bytesBefore)/seconds, float64(messagesAfter-messagesBefore)/seconds)
+	return nil
+}
+
+// gossipOf returns the mean bytes and messages that a node has sent for membership.
+func gossipOf(c *harness.Cluster) (bytes, messages uint64, err error) {
+	for _, h := range c.Hosts {
+		var state struct {
+			Gossip struct{ Bytes, Messages uint64 } `json:"gossip"`
+		}
+		if err := c.Get("http://"+h.Operators()+"/state", &state); err != nil {
+			return 0, 0, err
+		}
+		bytes += state.Gossip.Bytes
+		messages += state.Gossip.Messages
+	}
+	count := uint64(len(c.Hosts))
+	return bytes / count, messages / count, nil
+}
