--- a/hemlockclaim/machine_test.go
+++ b/hemlockclaim/machine_test.go
@@ -15,7 +15,15 @@
 // the transitions of spec/claim.pml on the real Claimer and Batcher.
 func TestAtMostOnceUnderFaults(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		synctest.Test(t, func(*testing.T) { driveMachine(r) })
+		var failure any
+		synctest.Test(t, func(*testing.T) {
+			// A panic with which rapid ends a run must pass through rapid's own goroutine.
+			defer func() { failure = recover() }()
+			driveMachine(r)
+		})
+		if failure != nil {
+			panic(failure)
+		}
 	})
 }
 
