--- a/hemlockplatform/transport_test.go
+++ b/hemlockplatform/transport_test.go
@@ -135,3 +135,38 @@
 		t.Errorf("%+v", snapshot)
 	}
 }
+
+// Guards against a breaker that stays open after the platform is back.
+func TestBreakerCloses(t *testing.T) {
+	p := newPlatform(t, hemlockplatform.WithBreaker(1, time.Millisecond))
+	p.inject(t, store.Faults{FailRate: 1})
+	_, err := p.client.List(t.Context(), "", "", 1)
+	if kind := hemlockplatform.KindOf(err); kind != hemlockplatform.KindNotApplied {
+		t.Fatal(err)
+	}
+	p.inject(t, store.Faults{})
+	for {
+		_, err := p.client.List(t.Context(), "", "", 1)
+		if err == nil {
+			break
+		}
+		if kind := hemlockplatform.KindOf(err); kind != hemlockplatform.KindUnavailable {
+			t.Fatal(err)
+		}
+	}
+	if snapshot := p.client.Snapshot(); snapshot.Breaker != "closed" {
+		t.Errorf("%+v", snapshot)
+	}
+}
+
+// Guards against a reply that takes more memory than a node has.
+func TestReplyLimit(t *testing.T) {
+	p := newPlatform(t, hemlockplatform.WithResponseLimits(100, 100, 100))
+	if err := p.client.PutObject(t.Context(), "large", make([]byte, 101)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := p.client.GetObject(t.Context(), "large")
+	if kind := hemlockplatform.KindOf(err); kind != hemlockplatform.KindNotApplied {
+		t.Errorf("the object was read with %v", err)
+	}
+}
