Close the gaps that removed mechanisms showed in the tests

Cause: with the over-long check, the waiting of a shutdown or the seal of an unwritten connection taken out, the tests still passed.

Change: an over-long body without end, a shutdown in virtual time, and tests of the seal itself.

Conclusion: each of these now fails without its mechanism.

--- a/hemlockpeer/frames_test.go
+++ b/hemlockpeer/frames_test.go
@@ -36,6 +36,21 @@
 		f[2].Body[5] ^= 1
 		return f
 	},
+	"sequence": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		f[2].Sequence--
+		return f
+	},
+	"checksum of a part": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		f[2].Checksum ^= 1
+		return f
+	},
+	"head and part in one": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		f[2].Response = &hemlockwire.ResponseHead{Status: 200}
+		return f
+	},
+	"under its length": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		return rebuild(f, f[1].GetBody())
+	},
 	"checksum of the whole": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
 		f[4].End.Checksum ^= 1
 		return f
@@ -45,13 +60,10 @@
 		return f
 	},
 	"over-long": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
-		writer := &frameWriter{stream: &recorder{}, call: f[0].GetCallId()}
-		_ = writer.send(f[0])
-		for _, part := range [][]byte{f[1].GetBody(), f[2].GetBody(), f[3].GetBody(), []byte("more")} {
-			_ = writer.body(part)
-		}
-		_ = writer.end(nil)
-		return writer.stream.(*recorder).frames
+		return rebuild(f, f[1].GetBody(), f[2].GetBody(), f[3].GetBody(), []byte("more"))
+	},
+	"over-long without end": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
+		return rebuild(f, f[1].GetBody(), f[2].GetBody(), f[3].GetBody(), []byte("more"))[:5]
 	},
 	"frame after the end": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
 		return append(f, &hemlockwire.Frame{CallId: f[0].GetCallId(), Sequence: 5, End: f[4].GetEnd()})
@@ -61,12 +73,7 @@
 		return f
 	},
 	"oversize part": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
-		whole := bytes.Join([][]byte{f[1].GetBody(), f[2].GetBody(), f[3].GetBody()}, nil)
-		writer := &frameWriter{stream: &recorder{}, call: f[0].GetCallId()}
-		_ = writer.send(f[0])
-		_ = writer.body(whole)
-		_ = writer.end(nil)
-		return writer.stream.(*recorder).frames
+		return rebuild(f, bytes.Join([][]byte{f[1].GetBody(), f[2].GetBody(), f[3].GetBody()}, nil))
 	},
 	"oversize header": func(f []*hemlockwire.Frame) []*hemlockwire.Frame {
 		large := []*hemlockwire.Header{{Name: "X", Values: []string{strings.Repeat("x", maximumHeaderBytes)}}}
@@ -79,14 +86,26 @@
 	},
 }
 
+// rebuild returns consistent frames with the same head and another body.
+func rebuild(f []*hemlockwire.Frame, parts ...[]byte) []*hemlockwire.Frame {
+	recorded := &recorder{}
+	writer := &frameWriter{stream: recorded, call: f[0].GetCallId()}
+	_ = writer.send(f[0])
+	for _, part := range parts {
+		_ = writer.body(part)
+	}
+	_ = writer.end(nil)
+	return recorded.frames
+}
+
 // Guards against a peer's answer that is crossed, truncated, over-long, duplicated or changed and yet reaches the
 // caller as complete, and against the reuse of the connection that it came on.
 func TestDefectiveAnswers(t *testing.T) {
 	body := pattern(1, 2*chunkSize+1000)
 	for name, defect := range defects {
 		for kind, length := range map[string]int64{"bounded": int64(len(body)), "streamed": -1} {
-			if name == "over-long" && length < 0 {
-				continue // Without a declared length no length is over-long.
+			if length < 0 && (strings.HasPrefix(name, "over-long") || name == "under its length") {
+				continue // No length was declared.
 			}
 			t.Run(name+" "+kind, func(t *testing.T) {
 				address := startFakePeer(t, func(stream hemlockwire.DRPCNode_CallStream, call uint64) error {
--- a/hemlockpeer/shutdown_test.go
+++ b/hemlockpeer/shutdown_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"hemlockhollow/hemlockcall"
@@ -30,6 +32,61 @@
 	refusedAs(t, err, hemlockcall.NotRun, hemlockcall.ReasonConnection)
 }
 
+// pipeListener accepts in-memory connections, which work in virtual time.
+type pipeListener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.connections:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{} }
+
+func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	l.connections <- far
+	return near, nil
+}
+
+// Guards against a shutdown that closes connections while a call runs, however long it takes.
+func TestShutdownWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+		server := NewServer(invokerFunc(func(context.Context, *hemlockcall.Request) (*hemlockcall.Response, error) {
+			time.Sleep(time.Minute)
+			return newResponse([]byte("done"), 4), nil
+		}))
+		served, ended := make(chan error, 1), make(chan error, 1)
+		go func() { served <- server.Serve(context.Background(), listener) }()
+		client := NewClient(WithDial(listener.dial))
+		request := newRequest(nil, 0)
+		request.Context.Remaining = time.Hour
+		go func() {
+			_, err := client.To("peer").Invoke(context.Background(), request)
+			ended <- err
+		}()
+		synctest.Wait()
+		begin := time.Now()
+		noError(t, server.Shutdown(context.Background()))
+		equal(t, "time until the stop", time.Since(begin), time.Minute+defaultLinger)
+		noError(t, <-ended)
+		noError(t, <-served)
+		client.Close()
+	})
+}
+
 // Guards against control messages that lose content, and against their waiting behind slow calls.
 func TestControlMessages(t *testing.T) {
 	blocked := make(chan struct{})
