--- a/hemlockpeer/service.go
+++ b/hemlockpeer/service.go
@@ -45,6 +45,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > maximumMessage-chunkSize {
+		// The reader of the peer would close the connection without saying why.
+		return nil, hemlockerror.New("fetch configuration", KindRemote, "configuration too large for one message")
+	}
 	return &hemlockwire.ConfigurationAnswer{Version: version, Body: body}, nil
 }
 
--- a/hemlocktarget/verdict_test.go
+++ b/hemlocktarget/verdict_test.go
@@ -188,6 +188,24 @@
 	t.Logf("answered %d, not run %d, unknown %d", len(answered), counts[hemlockcall.NotRun], counts[hemlockcall.Unknown])
 }
 
+// Guards against a wrong verdict on a keep-alive connection that the target closes without a word, while the next
+// request may just be on its way.
+func TestDeadKeepAliveConnection(t *testing.T) {
+	target := startRawTarget(t, answering(okAnswer))
+	client := startClient(t, target.address)
+	for i := range 300 {
+		key := fmt.Sprint(i)
+		_, err := readWhole(context.Background(), client, newRequest(http.MethodPost, key, nil, 0))
+		runs := target.runsOf(key)
+		switch {
+		case err == nil:
+			equal(t, "runs of an answered request", runs, 1)
+		case hemlockcall.AsRefusal(err).Verdict == hemlockcall.NotRun:
+			equal(t, "runs of a request that was not run", runs, 0)
+		}
+	}
+}
+
 // Guards against a status that means "not run" and is passed on as an answer, without the target's advice.
 func TestNotRunStatus(t *testing.T) {
 	target := startRawTarget(t, answering("HTTP/1.1 503 Full\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"))
