--- a/hemlockpeer/client.go
+++ b/hemlockpeer/client.go
@@ -66,8 +66,8 @@
 	return version, body, err
 }
 
-// Claim sends a batch of claim changes. After an error the outcome is unknown, unless its kind is KindCapacity: then
-// nothing was sent.
+// Claim sends a batch of claim changes. Nothing was sent when the kind of the error is KindCapacity, KindConnection or
+// KindClosed; after any other error the outcome is unknown.
 func (c *Client) Claim(ctx context.Context, address string, changes []ClaimChange) ([]bool, error) {
 	var results *hemlockwire.ClaimResults
 	err := c.control(ctx, address, func(ctx context.Context, node hemlockwire.DRPCNodeClient) (err error) {
