Test that a cancel reaches a handler that does not read its upload

Cause: an unread body blocks the reader of drpc, which then does not see the end of the connection; only receiving ahead makes it visible.

Change: a test with an upload in progress that the handler does not read.

--- a/hemlockpeer/verdict_test.go
+++ b/hemlockpeer/verdict_test.go
@@ -162,6 +162,26 @@
 	}
 }
 
+// Guards against a handler that runs on after its caller is gone, because the body that it does not read hides the end
+// of the connection.
+func TestCancelReachesHandlerDuringUpload(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	_, address := startServer(t, invokerFunc(func(ctx context.Context, _ *hemlockcall.Request) (*hemlockcall.Response, error) {
+		close(started)
+		<-ctx.Done()
+		close(cancelled)
+		return nil, hemlockcall.Doubt(hemlockcall.ReasonCancelled, "")
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-started; cancel() }()
+	reader, writer := io.Pipe()
+	defer func() { _ = writer.Close() }()
+	body := io.MultiReader(bytes.NewReader(pattern(1, 4*chunkSize)), reader)
+	_, err := startClient(t).To(address).Invoke(ctx, newRequest(body, -1))
+	refusedAs(t, err, hemlockcall.Unknown, hemlockcall.ReasonCancelled)
+	receive(t, "cancelling of the handler", cancelled)
+}
+
 func countDials(dials *atomic.Int32) Option {
 	return WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
 		dials.Add(1)
