Probe doubtful members more often, choose 64 digest buckets by measurement

Cause: with 10% loss, one live member was declared dead in 10 runs of 2 minutes with 41 nodes. The number of buckets was an estimate.

Change: a member that is silent for more than 1.5 s, or that a second prober checks, is probed three times a second.

One differing record among 1,500 costs 4,964 bytes with 16 buckets, 2,242 with 64 and 2,364 with 128; among 25 it costs 784, 725 and 771.

Conclusion: 64 buckets.

--- a/hemlockmember/probe.go
+++ b/hemlockmember/probe.go
@@ -123,7 +123,12 @@
 			delete(g.watches, address)
 			continue
 		}
-		if now.Sub(w.lastProbe) >= probeInterval {
+		interval := probeInterval
+		if silence > freshness || len(w.askers) > 0 {
+			// A doubtful member gets more chances to answer, so that a few lost messages do not look like a death.
+			interval /= 3
+		}
+		if now.Sub(w.lastProbe) >= interval {
 			w.lastProbe = now
 			g.sendProbe(w.kind(), address)
 		}
--- a/hemlockmember/view.go
+++ b/hemlockmember/view.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// Buckets is the number of digest buckets. All nodes must use the same number.
+	// Buckets is the number of digest buckets. All nodes must use the same number. Settling one differing record among
+	// 1,500 costs 2,242 bytes with 64 buckets, 4,964 with 16 and 2,364 with 128.
 	Buckets = 64
 	// deadRetention is how long a dead record is kept. Region links may be cut for minutes; the records must outlast
 	// that, because only kept addresses are probed again.
