Measure the ranking of members, state when a failure is recorded

Cause: the cost of choosing a claim's collector was unknown, and recording a request that the repeat budget itself refused would void its caller's wait.

Change: a benchmark of View.First and a comment on RepeatBudget.Failed.

--- a/hemlockmember/scale_test.go
+++ b/hemlockmember/scale_test.go
@@ -151,3 +151,18 @@
 		})
 	}
 }
+
+func BenchmarkFirst(b *testing.B) {
+	for _, n := range sizes {
+		w := newNetwork(1)
+		v := NewView(0)
+		for i := range n {
+			v.Merge(w.now, []Member{{Address: fmt.Sprint("n", i), Zone: fmt.Sprint("z", i%5), Region: "a", Incarnation: 1, State: Ready}})
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				v.First("claims/key", "z1", 2)
+			}
+		})
+	}
+}
--- a/hemlockretry/repeat.go
+++ b/hemlockretry/repeat.go
@@ -139,7 +139,8 @@
 	return max(f.free.Sub(now), 0)
 }
 
-// Failed records that a request failed, so that sending it again costs a token.
+// Failed records that a request failed after Allow let it run, so that sending it again costs a token. A request that
+// Allow refused must not be recorded here: that would void the wait that its caller was told.
 func (b *RepeatBudget) Failed(now time.Time, customer string, fingerprint uint64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
