--- a/standin/measure/path.go
+++ b/standin/measure/path.go
@@ -38,7 +38,7 @@
 	}
 	fmt.Println("calls/s  direct p50/p99 ms  through p50/p99 ms  added p99 ms  core % entry  core % served  us/call")
 	for _, rate := range []int{50, 100, 200, 400, 800, 1600} {
-		if err := pathAt(binaries, c, entry, served, rate); err != nil {
+		if err := pathAt(binaries, entry, served, rate); err != nil {
 			return err
 		}
 	}
@@ -92,7 +92,7 @@
 	return results.Classes[0], nil
 }
 
-func pathAt(binaries string, c *harness.Cluster, entry, served *harness.Host, rate int) error {
+func pathAt(binaries string, entry, served *harness.Host, rate int) error {
 	direct, err := loadAt(binaries, served.TargetAddress(), "/{n}?size=1024", rate, pathTime)
 	if err != nil {
 		return err
