Share the platform's writes between claim collectors, refuse large retention steps

Cause: two collectors in each of five zones could start 2,000 transactions/s, while the table takes several hundred writes/s. A claim retention that changes by more than a factor of two can make a swept key acceptable again.

Change: the interval of a batcher follows the zones in the view, so that all collectors share 300 transactions/s; publish refuses retention steps above a factor of two.

Ruled out: fewer collectors, because the loss of one would move all claims of a zone to local writes.

Conclusion: the interval is 20 ms with three zones and 33 ms with five; it applies only under load, a claim after a pause is written at once.

--- a/hemlockclaim/batcher.go
+++ b/hemlockclaim/batcher.go
@@ -56,7 +56,7 @@
 }
 
 type batchSettings struct {
-	interval    time.Duration
+	interval    func() time.Duration
 	changes     int
 	bytes       int
 	queue       int
@@ -69,6 +69,12 @@
 
 // WithInterval sets the shortest time between the starts of two writes; the default is 5 ms.
 func WithInterval(interval time.Duration) BatchOption {
+	return WithIntervalFrom(func() time.Duration { return interval })
+}
+
+// WithIntervalFrom sets where the shortest time between the starts of two writes is read before each write, so that
+// it can follow the number of batchers that share the store.
+func WithIntervalFrom(interval func() time.Duration) BatchOption {
 	return func(s *batchSettings) { s.interval = interval }
 }
 
@@ -96,7 +102,7 @@
 // NewBatcher returns a Batcher on top of a Writer.
 func NewBatcher(writer Writer, options ...BatchOption) *Batcher {
 	s := batchSettings{
-		interval: 5 * time.Millisecond,
+		interval: func() time.Duration { return 5 * time.Millisecond },
 		changes:  256,
 		bytes:    512 << 10,
 		queue:    4096,
@@ -197,7 +203,7 @@
 		return
 	}
 	b.scheduled = true
-	time.AfterFunc(max(0, b.settings.interval-time.Since(b.last)), b.flush)
+	time.AfterFunc(max(0, b.settings.interval()-time.Since(b.last)), b.flush)
 }
 
 // flush writes one batch. It runs in the goroutine of a timer.
--- a/hemlockconfiguration/publisher.go
+++ b/hemlockconfiguration/publisher.go
@@ -96,6 +96,9 @@
 		if err := a.conflict(); err != nil {
 			return result, err
 		}
+		if err := a.checkRetentions(); err != nil {
+			return result, err
+		}
 		missing := a.missing()
 		if len(missing) == 0 {
 			return Result{Start: result.Start, Version: a.current.Version, Unchanged: true}, nil
@@ -192,6 +195,31 @@
 	return nil
 }
 
+// longestRetentionStep is the largest factor between two retentions of a service. Claims are swept after twice the
+// retention; with a larger step a swept key would be accepted again, and its order could run twice.
+const longestRetentionStep = 2
+
+// checkRetentions refuses a claim retention that changes by too much at once.
+func (a *attempt) checkRetentions() error {
+	var problems hemlockservice.Problems
+	for _, c := range a.changes {
+		published, known := a.current.Services[c.name]
+		if !known || c.service == nil {
+			continue
+		}
+		old, changed := published.ClaimRetention, c.service.ClaimRetention
+		if changed > longestRetentionStep*old || old > longestRetentionStep*changed {
+			problems = append(problems, hemlockservice.Problem{File: c.file.Name, Line: 1, Column: 1, Message: fmt.Sprintf(
+				"claim-retention of service %q changes from %s to %s; allowed is a factor of %d at once, and twice the old "+
+					"retention between two changes", c.name, old, changed, longestRetentionStep)})
+		}
+	}
+	if len(problems) > 0 {
+		return hemlockerror.Wrap(publishOperation, KindInvalid, problems)
+	}
+	return nil
+}
+
 // holds reports whether the current configuration has the change already.
 func (a *attempt) holds(c change) bool {
 	s, ok := a.current.Services[c.name]
--- a/hemlockconfiguration/publisher_test.go
+++ b/hemlockconfiguration/publisher_test.go
@@ -246,3 +246,31 @@
 	_, err = publish(t, s, serviceFile("a", 5), serviceFile("a", 6))
 	assertKind(t, err, KindInvalid)
 }
+
+// Guards against a retention step after which a swept idempotency key would be accepted again.
+func TestRetentionChangesInSmallSteps(t *testing.T) {
+	file := func(retention string) File {
+		return File{Name: "a.hcl", Text: []byte(`service "a" {
+  slots           = 10
+  connections     = 100
+  claim-retention = "` + retention + `"
+  class "all" {
+    match {
+      method = "GET"
+      path   = "/*"
+    }
+    priority = "sheddable"
+    repeat   = "safe"
+    timeout  = "1s"
+  }
+}`)}
+	}
+	store := newDirectStore()
+	for _, step := range []struct {
+		retention string
+		kind      Kind
+	}{{"24h", ""}, {"49h", KindInvalid}, {"48h", ""}, {"23h", KindInvalid}, {"24h", ""}} {
+		_, err := publish(t, store, file(step.retention))
+		assertKind(t, err, step.kind)
+	}
+}
--- a/hemlocknode/duty.go
+++ b/hemlocknode/duty.go
@@ -11,6 +11,10 @@
 // collectorsPerZone is how many nodes of a zone write claims for the others.
 const collectorsPerZone = 2
 
+// claimWrites is the number of claim transactions per second that all collectors share. The platform's table takes
+// several hundred writes/s, and configuration and seed rows need some of them.
+const claimWrites = 300
+
 // Duties tells which nodes take a duty, by rendezvous hashing over this node's view. Another node's view may differ;
 // then both take the duty, which costs work and no safety.
 type Duties struct {
@@ -68,6 +72,18 @@
 	return chosen
 }
 
+// claimInterval returns the shortest time between two claim transactions of this node, so that the collectors of all
+// zones in the view together stay within claimWrites.
+func (d *Duties) claimInterval() time.Duration {
+	zones := map[string]bool{d.zone: true}
+	for _, m := range d.view.Members() {
+		if m.State != hemlockmember.Dead {
+			zones[m.Zone] = true
+		}
+	}
+	return time.Duration(len(zones)*collectorsPerZone) * time.Second / claimWrites
+}
+
 // avoid lets this node write the claims of a collector itself for a while.
 func (d *Duties) avoid(address string, until time.Time) {
 	d.mutex.Lock()
--- /dev/null
+++ b/hemlocknode/duty_test.go
@@ -0,0 +1,53 @@
+package hemlocknode
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hemlockhollow/hemlockmember"
+)
+
+func viewOf(zones, perZone int) *hemlockmember.View {
+	view := hemlockmember.NewView(0)
+	for z := range zones {
+		for n := range perZone {
+			view.Merge(time.Unix(0, 0), []hemlockmember.Member{{
+				Address:     fmt.Sprintf("10.0.%d.%d:1", z, n),
+				Zone:        fmt.Sprintf("zone-%d", z),
+				Region:      "region-1",
+				Incarnation: 1,
+				State:       hemlockmember.Ready,
+			}})
+		}
+	}
+	return view
+}
+
+// Guards against collectors that together write more than the platform's table takes.
+func TestClaimIntervalFollowsTheZones(t *testing.T) {
+	for zones, want := range map[int]time.Duration{1: time.Second * 2 / 300, 3: 20 * time.Millisecond, 5: time.Second * 10 / 300} {
+		duties := newDuties("10.0.0.0:1", "zone-0", viewOf(zones, 4))
+		if got := duties.claimInterval(); got != want {
+			t.Errorf("%d zones: interval %s, want %s", zones, got, want)
+		}
+	}
+}
+
+// Guards against claims that go on to a collector that has just failed.
+func TestFailedCollectorIsPassedOver(t *testing.T) {
+	view := viewOf(1, 6)
+	duties := newDuties("10.0.9.9:1", "zone-0", view)
+	chosen := duties.collector("key")
+	if chosen == "" {
+		t.Fatal("no collector among six nodes")
+	}
+	now := time.Now()
+	duties.avoid(chosen, now.Add(time.Minute))
+	if got := duties.collector("key"); got != "" {
+		t.Errorf("the failed collector %s is still used", got)
+	}
+	if duties.isAvoided(chosen, now.Add(2*time.Minute)) {
+		t.Error("the collector is passed over for ever")
+	}
+}
--- a/hemlocknode/providers.go
+++ b/hemlocknode/providers.go
@@ -102,7 +102,7 @@
 		return &platformClaims{claimer: hemlockclaim.New(unavailableClaims{}, anyService, time.Hour)}
 	}
 	table := hemlockplatform.NewClaims(platform)
-	batcher := hemlockclaim.NewBatcher(hemlockclaim.NewTransactionWriter(table))
+	batcher := hemlockclaim.NewBatcher(hemlockclaim.NewTransactionWriter(table), hemlockclaim.WithIntervalFrom(duties.claimInterval))
 	collector := hemlockclaim.NewCollector(batcher, duties.collector, remoteClaims(peers, duties))
 	store := hemlockclaim.NewStore(table, collector)
 	return &platformClaims{
