Use room in other zones when the chosen target is full

Cause: calls of important and higher priority stayed in their zone until its targets refused them. A cold target with a low limit queued 123 calls while the targets of its service in other zones had free slots.

Change: when the chosen target of the own zone is full by its load, a call of important or higher priority, or one within the overflow share, goes to a target of another zone that has room.

Ruled out: a larger overflow share; full zones would spread sheddable load.

--- a/hemlockrouting/choice.go
+++ b/hemlockrouting/choice.go
@@ -47,7 +47,7 @@
 	local := g.shortfall == 0 || float64(t.random(1000)) >= g.shortfall*1000
 	if local {
 		if e := t.better(now, g.own, p, tried, true); e != nil {
-			return e
+			return t.relieve(now, g, e, p, tried)
 		}
 	}
 	if !local || p > hemlockcall.Sheddable || t.mayOverflow(now, g, tried) {
@@ -70,6 +70,17 @@
 	return nil
 }
 
+// relieve returns a target of another zone that has room when the chosen one of the own zone is full.
+func (t *Table) relieve(now time.Time, g *group, own *entry, p hemlockcall.Priority, tried []string) *entry {
+	if own.load(now, t.settings.reportAge) <= 1 || p == hemlockcall.Sheddable && !t.mayOverflow(now, g, tried) {
+		return own
+	}
+	if other := t.better(now, g.other, p, tried, true); other != nil && other.load(now, t.settings.reportAge) < 1 {
+		return other
+	}
+	return own
+}
+
 // mayOverflow spends the bounded share of sheddable calls that may leave a full zone. A zone without ready targets
 // has no such bound: its load is an equal share that the others carry.
 func (t *Table) mayOverflow(_ time.Time, g *group, tried []string) bool {
