Let a class grow only after longer calm, without waiting for ends in each step

Cause: the calm time equalled the time between two probes, so that the share of a class grew in the middle of an overload; after it, each step waited for a completed run.

Change: the calm time is 750 ms; one completed run since the last failure is enough for all steps.

Ruled out: a floor higher than the probes need.

--- a/hemlockadmission/class.go
+++ b/hemlockadmission/class.go
@@ -10,9 +10,10 @@
 	paceProbe = 500 * time.Millisecond
 	// paceStep is the slow growth of the share after recent failures.
 	paceStep = 0.02
-	// paceCalm is how long no nested call must have been refused before the share doubles with each pause: from the floor
+	// paceCalm is how long no nested call must have been refused before the share doubles with each pause. It exceeds
+	// paceProbe, so that the share does not grow between two probes that fail. From the floor
 	// to the whole takes 8 pauses, within the 5 s of the objective for recovery.
-	paceCalm = 500 * time.Millisecond
+	paceCalm = 750 * time.Millisecond
 	// paceWait is how long a verdict waits for paceSamples ends.
 	paceWait    = time.Second
 	paceSamples = 5
@@ -32,6 +33,7 @@
 	credit          float64
 	changed         time.Time
 	failedAt        time.Time // when a nested call was last refused
+	throughAt       time.Time // when a run last completed
 	passed          time.Time // when a request last belonged to the share
 	through, failed int       // ends since the last change
 	// notice is the moving mean of how long a run takes until its nested call is refused: the delay of the control loop.
@@ -60,6 +62,7 @@
 	case Completed:
 		k.estimate(o.Service)
 		k.through++
+		k.throughAt = now
 	case TimedOut:
 		if o.Service > k.mean {
 			k.estimate(o.Service) // it would have taken longer still
@@ -86,7 +89,7 @@
 			return // too few for a verdict
 		}
 		k.share = max(paceFloor, k.share*max(0.5, float64(k.through)/float64(ends)))
-	case k.through == 0:
+	case !k.throughAt.After(k.failedAt):
 		return
 	case calm:
 		k.share = min(1, 2*k.share)
