Cut the share of a class by the failures seen, at most to a tenth

Cause: at the start of the storm the share halved once per delay of the control loop, about 1 s for uploads, and needed 7 s to reach its floor; nearly all waste of the storm came from these seconds.

Change: one verdict lowers the share by the part that got through, with one success and one failure added so that few ends do not decide alone, and at most to a tenth.

--- a/hemlockadmission/class.go
+++ b/hemlockadmission/class.go
@@ -8,6 +8,8 @@
 	// paceFloor and paceProbe keep some runs going, so that the end of the overload below is noticed.
 	paceFloor = 0.005
 	paceProbe = 500 * time.Millisecond
+	// paceCut bounds how far one verdict lowers the share.
+	paceCut = 0.1
 	// paceStep is the slow growth of the share after recent failures.
 	paceStep = 0.02
 	// paceCalm is how long no nested call must have been refused before the share doubles with each pause. It exceeds
@@ -88,7 +90,7 @@
 		if ends < paceSamples && age < paceWait {
 			return // too few for a verdict
 		}
-		k.share = max(paceFloor, k.share*max(0.5, float64(k.through)/float64(ends)))
+		k.share = max(paceFloor, k.share*max(paceCut, float64(k.through+1)/float64(ends+2)))
 	case !k.throughAt.After(k.failedAt):
 		return
 	case calm:
