Probe a paced class four times a second and triple its share after calm

Cause: after the storm, classes waited 750 ms without failures and then needed 0.8 s to grow, on top of the level hold at the target and the age of levels at the callers, 1 s each.

Change: probes every 250 ms, calm of 400 ms, and three times the share with each pause.

Ruled out: a shorter age of levels at the callers' nodes; the design fixes it at 1 s.

--- a/hemlockadmission/class.go
+++ b/hemlockadmission/class.go
@@ -7,15 +7,15 @@
 	paceRefused = 0.2
 	// paceFloor and paceProbe keep some runs going, so that the end of the overload below is noticed.
 	paceFloor = 0.005
-	paceProbe = 500 * time.Millisecond
+	paceProbe = 250 * time.Millisecond
 	// paceCut bounds how far one verdict lowers the share.
 	paceCut = 0.1
 	// paceStep is the slow growth of the share after recent failures.
 	paceStep = 0.02
-	// paceCalm is how long no nested call must have been refused before the share doubles with each pause. It exceeds
+	// paceCalm is how long no nested call must have been refused before the share triples with each pause. It exceeds
 	// paceProbe, so that the share does not grow between two probes that fail. From the floor
-	// to the whole takes 8 pauses, within the 5 s of the objective for recovery.
-	paceCalm = 750 * time.Millisecond
+	// to the whole takes 5 pauses, within the 5 s of the objective for recovery.
+	paceCalm = 400 * time.Millisecond
 	// paceWait is how long a verdict waits for paceSamples ends.
 	paceWait    = time.Second
 	paceSamples = 5
@@ -94,7 +94,7 @@
 	case !k.throughAt.After(k.failedAt):
 		return
 	case calm:
-		k.share = min(1, 2*k.share)
+		k.share = min(1, 3*k.share)
 	default:
 		k.share = min(1, k.share+paceStep)
 	}
