--- a/hemlockadmission/property_test.go
+++ b/hemlockadmission/property_test.go
@@ -72,6 +72,7 @@
 		Rank:      uint8(rapid.IntRange(0, 2).Draw(w.t, "rank")),
 		Depth:     uint8(rapid.IntRange(0, 3).Draw(w.t, "depth")),
 		Remaining: time.Duration(rapid.IntRange(0, 500).Draw(w.t, "remaining")) * time.Millisecond,
+		Class:     rapid.SampledFrom([]string{"x", "y"}).Draw(w.t, "class"),
 		Suspect:   rapid.IntRange(0, 9).Draw(w.t, "suspect") == 0,
 	}
 	address := w.ordered[rapid.IntRange(0, 1).Draw(w.t, "target")]
