Tolerate a third of refused nested calls before a class is paced

Cause: at 105% of the slots, and beside one slow target, a fifth of the nested calls of pages and folds was refused. The share then fell further than the overload asked for and grew back slowly.

Change: a class is paced when more than 35% of its runs fail at a nested call, and grows by 5% of the offered requests with each step while failures are recent.

--- a/hemlockadmission/class.go
+++ b/hemlockadmission/class.go
@@ -3,18 +3,19 @@
 import "time"
 
 const (
-	// paceRefused is the part of a class's runs that may fail at a nested call before fewer are admitted.
-	paceRefused = 0.2
+	// paceRefused is the part of a class's runs that may fail at a nested call before fewer are admitted. Below it, the
+	// slots that the failed runs took were worth less than the requests that fewer admissions would lose.
+	paceRefused = 0.35
 	// paceFloor and paceProbe keep some runs going, so that the end of the overload below is noticed.
 	paceFloor = 0.005
 	paceProbe = 250 * time.Millisecond
 	// paceCut bounds how far one verdict lowers the share.
 	paceCut = 0.1
 	// paceStep is the slow growth of the share after recent failures.
-	paceStep = 0.02
+	paceStep = 0.05
 	// paceCalm is how long no nested call must have been refused before the share triples with each pause. It exceeds
-	// paceProbe, so that the share does not grow between two probes that fail. From the floor
-	// to the whole takes 5 pauses, within the 5 s of the objective for recovery.
+	// paceProbe, so that the share does not grow between two probes that fail. From the floor to the whole takes 5
+	// pauses, within the 5 s of the objective for recovery.
 	paceCalm = 400 * time.Millisecond
 	// paceWait is how long a verdict waits for paceSamples ends.
 	paceWait    = time.Second
