--- a/hemlockadmission/class.go
+++ b/hemlockadmission/class.go
@@ -3,16 +3,20 @@
 import "time"
 
 const (
-	// paceRefused is the part of a class's runs that may fail at a nested call before fewer are admitted.
-	paceRefused = 0.2
+	// paceRefused is the part of a class's runs that may fail at a nested call before fewer are admitted. Below it, the
+	// slots that the failed runs took were worth less than the requests that fewer admissions would lose.
+	paceRefused = 0.35
 	// paceFloor and paceProbe keep some runs going, so that the end of the overload below is noticed.
 	paceFloor = 0.005
-	paceProbe = 500 * time.Millisecond
+	paceProbe = 250 * time.Millisecond
+	// paceCut bounds how far one verdict lowers the share.
+	paceCut = 0.1
 	// paceStep is the slow growth of the share after recent failures.
-	paceStep = 0.02
-	// paceCalm is how long no nested call must have been refused before the share doubles with each pause: from the floor
-	// to the whole takes 8 pauses, within the 5 s of the objective for recovery.
-	paceCalm = 500 * time.Millisecond
+	paceStep = 0.05
+	// paceCalm is how long no nested call must have been refused before the share triples with each pause. It exceeds
+	// paceProbe, so that the share does not grow between two probes that fail. From the floor to the whole takes 5
+	// pauses, within the 5 s of the objective for recovery.
+	paceCalm = 400 * time.Millisecond
 	// paceWait is how long a verdict waits for paceSamples ends.
 	paceWait    = time.Second
 	paceSamples = 5
@@ -32,6 +36,7 @@
 	credit          float64
 	changed         time.Time
 	failedAt        time.Time // when a nested call was last refused
+	throughAt       time.Time // when a run last completed
 	passed          time.Time // when a request last belonged to the share
 	through, failed int       // ends since the last change
 	// notice is the moving mean of how long a run takes until its nested call is refused: the delay of the control loop.
@@ -60,6 +65,7 @@
 	case Completed:
 		k.estimate(o.Service)
 		k.through++
+		k.throughAt = now
 	case TimedOut:
 		if o.Service > k.mean {
 			k.estimate(o.Service) // it would have taken longer still
@@ -85,11 +91,11 @@
 		if ends < paceSamples && age < paceWait {
 			return // too few for a verdict
 		}
-		k.share = max(paceFloor, k.share*max(0.5, float64(k.through)/float64(ends)))
-	case k.through == 0:
+		k.share = max(paceFloor, k.share*max(paceCut, float64(k.through+1)/float64(ends+2)))
+	case !k.throughAt.After(k.failedAt):
 		return
 	case calm:
-		k.share = min(1, 2*k.share)
+		k.share = min(1, 3*k.share)
 	default:
 		k.share = min(1, k.share+paceStep)
 	}
