--- /dev/null
+++ b/hemlockconfiguration/scale_test.go
@@ -0,0 +1,52 @@
+package hemlockconfiguration
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"hemlockhollow/hemlockservice"
+)
+
+// scaled returns a configuration of the given number of services, each as large as the orders example.
+func scaled(b *testing.B, services int) Configuration {
+	b.Helper()
+	text, err := os.ReadFile("../examples/kilwa/orders.hcl")
+	if err != nil {
+		b.Fatal(err)
+	}
+	changes := map[string]*hemlockservice.Service{}
+	for i := range services {
+		name := fmt.Sprintf("orders-%d", i)
+		renamed := strings.Replace(string(text), `service "orders"`, `service "`+name+`"`, 1)
+		service, problems := hemlockservice.Parse(name+".hcl", []byte(renamed))
+		if len(problems) > 0 {
+			b.Fatal(problems)
+		}
+		changes[name] = &service
+	}
+	return Configuration{}.next(changes, "nonce")
+}
+
+// BenchmarkConfiguration gives the compressed size and the time to decode, which every node pays for every version,
+// and to encode, which a node pays for every peer that fetches.
+func BenchmarkConfiguration(b *testing.B) {
+	for _, services := range []int{4, 13, 26, 52} {
+		c := scaled(b, services)
+		body := Encode(c)
+		b.Run(fmt.Sprintf("decode/%d", services), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := Decode(body); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(body)), "bytes")
+		})
+		b.Run(fmt.Sprintf("encode/%d", services), func(b *testing.B) {
+			for b.Loop() {
+				Encode(c)
+			}
+		})
+	}
+}
