Let a test choose how a node opens its connections

Cause: a whole node could not be cut off from its peers or from the platform inside one test process, because buildNode opened plain TCP connections only.

Change: buildNode takes a dial function for peers and one for the platform. Run passes none, so a node behaves as before.

--- a/hemlocknode/node.go
+++ b/hemlocknode/node.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return hemlockerror.Wrap("open log", KindSetting, err)
 	}
-	node, closeNode := buildNode(settings, log)
+	node, closeNode := buildNode(settings, log, dials{})
 	defer closeNode()
 	node.openServers()
 	sockets, err := openListeners(settings)
--- a/hemlocknode/providers.go
+++ b/hemlocknode/providers.go
@@ -1,7 +1,9 @@
 package hemlocknode
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 	"net/url"
 	"time"
 
@@ -40,8 +42,17 @@
 	return newDuties(s.PeersAddress, s.Zone, view)
 }
 
-func providePeerClient(m *Metrics) *hemlockpeer.Client {
-	return hemlockpeer.NewClient(hemlockpeer.WithScope(m.scope.SubScope("peer")))
+// dials holds how a node opens connections; a nil function means plain TCP.
+type dials struct {
+	peers, platform func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func providePeerClient(m *Metrics, open dials) *hemlockpeer.Client {
+	options := []hemlockpeer.Option{hemlockpeer.WithScope(m.scope.SubScope("peer"))}
+	if open.peers != nil {
+		options = append(options, hemlockpeer.WithDial(open.peers))
+	}
+	return hemlockpeer.NewClient(options...)
 }
 
 // provideTargetClient returns the client of the local target. Which statuses mean "not run" and how large an answer
@@ -75,7 +86,7 @@
 }
 
 // providePlatform returns nil when no platform is set.
-func providePlatform(s Settings) *hemlockplatform.Client {
+func providePlatform(s Settings, open dials) *hemlockplatform.Client {
 	if s.Platform == "" {
 		return nil
 	}
@@ -84,7 +95,11 @@
 	if err != nil {
 		return nil
 	}
-	return hemlockplatform.New(parsed.Host)
+	var options []hemlockplatform.Option
+	if open.platform != nil {
+		options = append(options, hemlockplatform.WithDial(open.platform))
+	}
+	return hemlockplatform.New(parsed.Host, options...)
 }
 
 // platformClaims is the local writer of claims and the claimer on top of the zone's collectors.
--- a/hemlocknode/wire.go
+++ b/hemlocknode/wire.go
@@ -10,7 +10,7 @@
 )
 
 // buildNode is generated into wire_gen.go.
-func buildNode(settings Settings, log logr.Logger) (*Node, func()) {
+func buildNode(settings Settings, log logr.Logger, open dials) (*Node, func()) {
 	panic(wire.Build(
 		NewMetrics,
 		hemlockconfiguration.NewHolder,
--- a/hemlocknode/wire_gen.go
+++ b/hemlocknode/wire_gen.go
@@ -14,13 +14,13 @@
 // Injectors from wire.go:
 
 // buildNode is generated into wire_gen.go.
-func buildNode(settings Settings, log logr.Logger) (*Node, func()) {
+func buildNode(settings Settings, log logr.Logger, open dials) (*Node, func()) {
 	metrics, cleanup := NewMetrics()
 	holder := hemlockconfiguration.NewHolder()
 	controller := newAdmission()
 	table := provideSuspects(settings)
 	gossip := provideGossip(settings, table)
-	client := providePeerClient(metrics)
+	client := providePeerClient(metrics, open)
 	announcer := provideAnnouncer(gossip, client, log)
 	targetHealth := provideHealth(holder, controller, table, announcer, log)
 	hemlocktargetClient := provideTargetClient(holder, targetHealth)
@@ -29,7 +29,7 @@
 	server := provideServer(controller, invoker, targetHealth, hemlocktraceTable, table, metrics)
 	hemlockroutingTable := provideRouting(settings)
 	dispatcher := provideDispatcher(settings, server, client, hemlockroutingTable, table, gossip, metrics)
-	hemlockplatformClient := providePlatform(settings)
+	hemlockplatformClient := providePlatform(settings, open)
 	view := provideView(gossip)
 	duties := provideDuties(settings, view)
 	hemlocknodePlatformClaims := provideClaims(hemlockplatformClient, client, duties)
