Keep an unknown outcome when a later attempt was not run

Cause: the refusal of the last attempt was returned as it was. After a broken connection (outcome unknown) and a second attempt that was shed, the caller was told that its request was not run, although the first target may have run it (guarantee 4). Only attempts that could not be sent at all were covered.

Change: the dispatcher remembers an attempt of unknown outcome and returns its refusal when no attempt gives an answer.

Before the change the test failed with: after 2 attempts the call ended with not-run: overload: shed, want the verdict unknown after 2 attempts the call ended with not-run: deadline: late, want the verdict unknown after 3 attempts the call ended with not-run: overload: shed, want the verdict unknown

Ruled out: orders are not affected, they are never sent again after an unknown outcome.

Conclusion: the verdict covers all attempts of a call.

--- a/hemlocknode/dispatch.go
+++ b/hemlocknode/dispatch.go
@@ -58,13 +58,20 @@
 func (d *Dispatcher) Invoke(ctx context.Context, request *hemlockcall.Request, body *requestBody) (*hemlockcall.Response, error) {
 	a := &attempt{request: request, body: body, ledger: hemlockretry.NewLedger(request.Context.Retries)}
 	deadline := time.Now().Add(request.Context.Remaining)
-	var last *hemlockcall.Refusal
+	var last, doubt *hemlockcall.Refusal
 	for {
 		response, refusal := d.try(ctx, a, deadline, last)
 		if refusal == nil {
 			return response, nil
 		}
+		if refusal.Verdict == hemlockcall.Unknown {
+			doubt = refusal
+		}
 		if !d.mayRepeat(ctx, a, refusal, last) {
+			if doubt != nil {
+				// A later attempt that was not run does not undo an earlier one that may have run.
+				refusal = doubt
+			}
 			return nil, refusal.WithFeedback(hemlockcall.Feedback{Retries: a.ledger.Close()})
 		}
 		last = refusal
@@ -98,7 +105,7 @@
 	return d.answered(now, a, address, share, response), nil
 }
 
-// worst keeps the verdict of an earlier attempt that may have run: a later attempt that was not run does not undo it.
+// worst returns the refusal that stands when no attempt could be made after the last one.
 func worst(last, refusal *hemlockcall.Refusal) *hemlockcall.Refusal {
 	if last != nil && (last.Verdict == hemlockcall.Unknown || refusal.Reason == hemlockcall.ReasonUnavailable) {
 		return last
