Never share the rest of an upload between two attempts

Cause: an upload counted as replayable while no byte beyond the part in memory had arrived. The sender of a refused attempt may be waiting in a read for the next piece at that moment; it then took the piece away from the next attempt. An upload without a declared length reached the second target with a hole and was taken for whole. A body that did not have its declared length was also taken for whole, and a body of exactly the read-ahead size was taken for a larger one, so that an order of 256 KiB was refused.

Change: the rest of an upload is read by one attempt only. It counts as begun before the first read of its source, and the readers of earlier attempts are revoked when the body is sent again. readBody checks the declared length.

Conclusion: an upload is sent again only while nothing beyond the part in memory was asked for.

--- a/hemlocknode/body.go
+++ b/hemlocknode/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"hemlockhollow/hemlockcall"
@@ -43,28 +44,77 @@
 	// prefix is the part that has been read; it is the whole body when rest is nil.
 	prefix []byte
 	// rest is the unread part of a large body, or nil.
-	rest *countingReader
+	rest *unreadRest
 	// reserved is what the body takes of the budget.
 	reserved int64
 	budget   *byteBudget
 }
 
-type countingReader struct {
+// unreadRest is the part of an upload that has not arrived yet. It can be read once, by one attempt: what an attempt
+// has begun to read is lost to the next one, even if no byte has arrived.
+type unreadRest struct {
 	source io.Reader
 	limit  int64
-	count  atomic.Int64
+
+	mutex sync.Mutex
+	// attempt numbers the attempts; only the reader of the present one may read.
+	attempt int
+	// begun is set before the first read of the source.
+	begun bool
+}
+
+// attemptReader reads the rest on behalf of one attempt.
+type attemptReader struct {
+	rest    *unreadRest
+	attempt int
+	count   int64
 }
 
-var errBodyTooLarge = errors.New("request body is larger than its class allows")
+var (
+	errBodyTooLarge = errors.New("request body is larger than its class allows")
+	errBodyRevoked  = errors.New("request body belongs to a later attempt")
+)
 
-func (c *countingReader) Read(p []byte) (int, error) {
-	n, err := c.source.Read(p)
-	if c.count.Add(int64(n)) > c.limit {
+// Read implements io.Reader.
+func (a *attemptReader) Read(p []byte) (int, error) {
+	if !a.rest.begin(a.attempt) {
+		return 0, errBodyRevoked
+	}
+	n, err := a.rest.source.Read(p)
+	a.count += int64(n)
+	if a.count > a.rest.limit {
 		return 0, errBodyTooLarge
 	}
 	return n, err
 }
 
+func (u *unreadRest) begin(attempt int) bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if attempt != u.attempt {
+		return false
+	}
+	u.begun = true
+	return true
+}
+
+// revoke ends the present attempt unless it has begun to read.
+func (u *unreadRest) revoke() bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.begun {
+		return false
+	}
+	u.attempt++
+	return true
+}
+
+func (u *unreadRest) reader() io.Reader {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return &attemptReader{rest: u, attempt: u.attempt}
+}
+
 // readBody reads the beginning of a body, at most limit bytes, and reports a refusal as not run when that fails.
 func readBody(source io.Reader, length, limit int64, budget *byteBudget) (*requestBody, error) {
 	body := &requestBody{budget: budget}
@@ -85,6 +135,11 @@
 			body.close()
 			return nil, hemlockcall.Refuse(hemlockcall.ReasonTooLarge, errBodyTooLarge.Error())
 		}
+		held := int64(len(body.prefix))
+		if length >= 0 && (held > length || held < length && errors.Is(err, io.EOF)) {
+			body.close()
+			return nil, hemlockcall.Refuse(hemlockcall.ReasonIncomplete, "request body does not have its declared length")
+		}
 		if errors.Is(err, io.EOF) {
 			return body, nil
 		}
@@ -93,7 +148,10 @@
 			return nil, hemlockcall.Refuse(hemlockcall.ReasonIncomplete, "request body broke off: "+err.Error())
 		}
 	}
-	body.rest = &countingReader{source: source, limit: limit - int64(len(body.prefix))}
+	if int64(len(body.prefix)) == length {
+		return body, nil
+	}
+	body.rest = &unreadRest{source: source, limit: limit - int64(len(body.prefix))}
 	return body, nil
 }
 
@@ -122,15 +180,16 @@
 	return b.rest == nil
 }
 
-// replayable reports whether the body can be sent from its beginning once more.
+// replayable reports whether the body can be sent from its beginning once more. If so, readers of earlier attempts
+// read no more of an upload: the sender of a refused attempt may still be at work.
 func (b *requestBody) replayable() bool {
-	return b.rest == nil || b.rest.count.Load() == 0
+	return b.rest == nil || b.rest.revoke()
 }
 
 // reader returns the body from its beginning; nil for an empty body.
 func (b *requestBody) reader() io.Reader {
 	if b.rest != nil {
-		return io.MultiReader(bytes.NewReader(b.prefix), b.rest)
+		return io.MultiReader(bytes.NewReader(b.prefix), b.rest.reader())
 	}
 	if len(b.prefix) == 0 {
 		return nil
