--- /dev/null
+++ b/hemlocknode/fixture_test.go
@@ -0,0 +1,151 @@
+package hemlocknode
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"hemlockhollow/hemlockconfiguration"
+	"hemlockhollow/hemlockplatform"
+	"hemlockhollow/standin/platform/store"
+)
+
+// patience is how long a test waits for a state; it is far above what a busy machine needs.
+const patience = 60 * time.Second
+
+func eventually(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	ticker, end := time.NewTicker(20*time.Millisecond), time.After(patience)
+	defer ticker.Stop()
+	for !reached() {
+		select {
+		case <-ticker.C:
+		case <-end:
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+// cluster is some nodes in this process with the platform's stand-in.
+type cluster struct {
+	*testing.T
+	network  *network
+	platform string
+	seeds    []string
+	started  int
+}
+
+func newCluster(t *testing.T) *cluster {
+	server := httptest.NewServer(store.NewHandler(store.New(), 0))
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	return &cluster{T: t, platform: address, network: &network{
+		zones: map[string]string{address: "platform"}, cuts: map[[2]string]bool{}, open: map[[2]string][]net.Conn{},
+	}}
+}
+
+func (c *cluster) publish(files ...string) {
+	c.Helper()
+	var published []hemlockconfiguration.File
+	for i, text := range files {
+		published = append(published, hemlockconfiguration.File{Name: fmt.Sprint(i, ".hcl"), Text: []byte(text)})
+	}
+	client := hemlockplatform.New(c.platform, hemlockplatform.WithTimeout(patience))
+	if _, err := hemlockconfiguration.NewPublisher(NewHeadStore(client)).Publish(c.Context(), published); err != nil {
+		c.Fatal(err)
+	}
+}
+
+type testNode struct {
+	*Node
+	callers string
+	// stop begins the planned stop, done gets its result.
+	stop context.CancelFunc
+	done chan error
+}
+
+func listen(t *testing.T, host int) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.210.0.%d:0", host))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+func (c *cluster) node(zone string, change func(*Settings)) *testNode {
+	c.Helper()
+	c.started++
+	s := listeners{listen(c.T, c.started), listen(c.T, c.started), listen(c.T, c.started), listen(c.T, c.started)}
+	settings := DefaultSettings()
+	settings.CallersAddress, settings.TargetAddress = s.callers.Addr().String(), s.target.Addr().String()
+	settings.PeersAddress, settings.OperatorsAddress = s.peers.Addr().String(), s.operators.Addr().String()
+	settings.Zone, settings.Platform, settings.Seeds = zone, "http://"+c.platform, c.seeds
+	settings.DrainGrace = 200 * time.Millisecond
+	if change != nil {
+		change(&settings)
+	}
+	c.network.join(zone, settings.PeersAddress)
+	c.seeds = append(c.seeds, settings.PeersAddress)
+	built, closeNode := buildNode(settings, logr.Discard(), dials{c.network.dial(zone), c.network.dial(zone)})
+	built.openServers()
+	ctx, stop := context.WithCancel(context.Background())
+	n := &testNode{Node: built, callers: settings.CallersAddress, stop: stop, done: make(chan error, 1)}
+	go func() {
+		n.done <- built.serve(ctx, s)
+		closeNode()
+	}()
+	c.Cleanup(stop)
+	return n
+}
+
+// testTarget is a service beside a node; it announces itself until silent is set.
+type testTarget struct {
+	runs   atomic.Int64
+	silent atomic.Bool
+}
+
+func (c *cluster) target(n *testNode, service string, handler http.HandlerFunc) *testTarget {
+	target := &testTarget{}
+	server := &httptest.Server{Listener: listen(c.T, 100+c.started), Config: &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			target.runs.Add(1)
+			handler(w, r)
+		})}}
+	server.Start()
+	c.Cleanup(server.Close)
+	body := fmt.Sprintf(`{"service":%q,"slots":80,"address":%q}`, service, server.Listener.Addr())
+	go func() {
+		for !target.silent.Load() && pause(c.Context(), 500*time.Millisecond) {
+			if answer, err := http.Post("http://"+n.settings.TargetAddress+"/announce", "", strings.NewReader(body)); err == nil {
+				_ = answer.Body.Close()
+			}
+		}
+	}()
+	return target
+}
+
+// send makes one request and reads its answer to the end.
+func send(method, url string, header http.Header) (status int, answer string, err error) {
+	request, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	request.Header = header
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header.Get("Hemlock-Verdict") + response.Header.Get("Hemlock-Reason") + string(text), err
+}
