End the process when the graceful shutdown runs out of time

Cause: the shutdown returned at the first step that ran out of time and left the listeners of the later steps open. In the same way a node whose one listener failed waited for the others, went on counting as ready and never exited.

Change: all steps run, the first error is returned, and a listener that fails stops the node. The callers' listener breaks off the requests that outlast the shutdown, as the target's listener does.

Conclusion: the process exits at the stop time-out at the latest. The failing listener has no test of its own.

--- a/hemlockcaller/listener.go
+++ b/hemlockcaller/listener.go
@@ -81,10 +81,15 @@
 	l.draining.Store(true)
 }
 
-// Shutdown stops accepting and waits for the requests in flight. When the context ends first, it returns its error.
+// Shutdown stops accepting and waits for the requests in flight. When the context ends first, it breaks them off and
+// returns its error.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	l.draining.Store(true)
-	return l.server.Shutdown(ctx)
+	err := l.server.Shutdown(ctx)
+	if err != nil {
+		_ = l.server.Close()
+	}
+	return err
 }
 
 func (l *Listener) serve(w http.ResponseWriter, r *http.Request) {
--- a/hemlocknode/node.go
+++ b/hemlocknode/node.go
@@ -136,12 +136,12 @@
 	})
 	n.log.Info("node started", "zone", n.settings.Zone, "peers-address", n.settings.PeersAddress)
 	<-failed.Done()
-	if ctx.Err() == nil {
-		return group.Wait()
-	}
+	// When a listener fails, the others are stopped too: half a node would go on counting as ready.
 	err := n.shutdown()
 	stopBackground()
-	_ = group.Wait()
+	if failure := group.Wait(); failure != nil {
+		return failure
+	}
 	return err
 }
 
--- a/hemlocknode/shutdown.go
+++ b/hemlocknode/shutdown.go
@@ -30,11 +30,16 @@
 		n.target.Shutdown,
 		n.operators.Shutdown,
 	}
+	// When the time is over, the remaining steps still close their listeners, without which the process does not end.
+	var failure error
 	for _, step := range steps {
-		if err := step(ctx); err != nil {
-			return hemlockerror.Wrap("stop", KindStop, err)
+		if err := step(ctx); err != nil && failure == nil {
+			failure = hemlockerror.Wrap("stop", KindStop, err)
 		}
 	}
+	if failure != nil {
+		return failure
+	}
 	n.log.Info("node stopped", "duration", time.Since(start).String())
 	return nil
 }
