Keep a stopping node leaving whatever its target announces

Cause: a target that restarts or changes its slots during the shutdown of its node made the node announce itself as ready again. Other nodes sent it calls, which it refused, until it was gone.

Change: once the node stops, each announcement of it says leaving.

Before the change the test failed with: the stopping node announced itself as ready

Conclusion: the announcement of a stop is final.

--- a/hemlocknode/announcer.go
+++ b/hemlocknode/announcer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -28,6 +29,10 @@
 	newer func(address string, version uint64)
 	queue chan hemlockmember.Message
 	log   logr.Logger
+
+	mutex sync.Mutex
+	// stopping is set for good when the node stops. Whatever its target announces after that, the node is leaving.
+	stopping bool
 }
 
 func newAnnouncer(gossip *hemlockmember.Gossip, peers *hemlockpeer.Client, log logr.Logger) *Announcer {
@@ -41,9 +46,22 @@
 }
 
 func (a *Announcer) announce(service string, state hemlockmember.State, slots int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.stopping {
+		state = hemlockmember.Leaving
+	}
 	a.enqueue(a.gossip.AnnounceService(time.Now(), service, state, slots))
 }
 
+// leave announces for good that the node is leaving.
+func (a *Announcer) leave(service string, slots int) {
+	a.mutex.Lock()
+	a.stopping = true
+	a.mutex.Unlock()
+	a.announce(service, hemlockmember.Leaving, slots)
+}
+
 func (a *Announcer) spread(records []hemlocksuspect.Record) {
 	a.enqueue(a.gossip.Spread(time.Now(), records))
 }
--- a/hemlocknode/shutdown.go
+++ b/hemlocknode/shutdown.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"hemlockhollow/hemlockerror"
-	"hemlockhollow/hemlockmember"
 )
 
 // shutdown stops the node without cutting off a request: it announces that it leaves, refuses new calls of peers as
@@ -19,7 +18,7 @@
 	n.server.leaving.Store(true)
 	n.reporter.stopping.Store(true)
 	state := n.health.State()
-	n.announcer.announce(state.Service, hemlockmember.Leaving, state.Slots)
+	n.announcer.leave(state.Service, state.Slots)
 	n.peers.Drain()
 	n.callers.Drain()
 	pause(ctx, n.settings.DrainGrace)
--- a/hemlocknode/stop_test.go
+++ b/hemlocknode/stop_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"hemlockhollow/hemlockmember"
 )
 
 // Guards against a node that never exits because a request outlasts the graceful shutdown.
@@ -29,3 +31,21 @@
 		}
 	})
 }
+
+// Guards against a stopping node that counts as ready again because its target announces itself anew.
+func TestStoppingNodeStaysLeaving(t *testing.T) {
+	c := newCluster(t)
+	c.publish(pagesFile)
+	n := c.node("a", func(s *Settings) { s.DrainGrace, s.StopTimeout = time.Minute, 2*time.Minute })
+	target := c.target(n, "pages", says("a"))
+	eventuallyServes(t, n, "GET", "/pages/x", "a")
+	n.stop()
+	eventually(t, "the node is leaving", func() bool { return n.announcer.gossip.Self().State == hemlockmember.Leaving })
+	target.silent.Store(true)
+	eventually(t, "the target is lost", func() bool { return n.health.State().State == hemlockmember.Joining.String() })
+	c.target(n, "pages", says("b"))
+	eventually(t, "the target is ready", func() bool { return n.health.State().State == hemlockmember.Ready.String() })
+	if state := n.announcer.gossip.Self().State; state != hemlockmember.Leaving {
+		t.Errorf("the stopping node announced itself as %v", state)
+	}
+}
