Keep a draining target out when its successor is ready

Cause: after a drain notice the announcements of the same address are ignored, but only while no other target is ready.

Tests cover the slots of a new version of the service file, a target that falls silent and a node whose leaving is not known.

Before the change the test failed with: after the successor's announcement the target is ready at 127.210.0.200:1

Ruled out: slots that stay at an older version.

Conclusion: a target that sent its drain notice gets no new work while it runs.

--- a/hemlocknode/health.go
+++ b/hemlocknode/health.go
@@ -40,9 +40,12 @@
 	slots     int
 	state     hemlockmember.State
 	announced time.Time
-	// drained is the address that sent the drain notice; its later announcements do not count.
+	// drained is the address that sent the drain notice; its later announcements do not count, not even when its
+	// successor on another port is ready.
 	drained string
-	probing bool
+	// drainedHeard is the time of the last announcement of the drained address.
+	drainedHeard time.Time
+	probing      bool
 }
 
 // TargetState is the part of the state dump about the local target.
@@ -70,15 +73,21 @@
 // Announce takes in an announcement of the target.
 func (h *TargetHealth) Announce(a hemlocktarget.Announcement) error {
 	h.mutex.Lock()
-	if h.drained == a.Address && h.state == hemlockmember.Leaving && time.Since(h.announced) < announcementExpiry {
+	if h.drained == a.Address && time.Since(h.drainedHeard) < announcementExpiry {
 		// A draining target goes on announcing until it stops. After a pause it is another process.
-		h.announced = time.Now()
+		h.drainedHeard = time.Now()
+		if h.state == hemlockmember.Leaving {
+			h.announced = h.drainedHeard
+		}
 		h.mutex.Unlock()
 		return nil
 	}
+	if h.drained == a.Address {
+		h.drained = ""
+	}
 	slots := h.declaredSlots(a)
 	changed := h.state != hemlockmember.Ready || h.service != a.Service || h.slots != slots || h.address != a.Address
-	h.service, h.address, h.slots, h.announced, h.drained = a.Service, a.Address, slots, time.Now(), ""
+	h.service, h.address, h.slots, h.announced = a.Service, a.Address, slots, time.Now()
 	h.state = hemlockmember.Ready
 	h.mutex.Unlock()
 	if !changed {
@@ -107,7 +116,7 @@
 		h.mutex.Unlock()
 		return
 	}
-	h.state, h.drained = hemlockmember.Leaving, h.address
+	h.state, h.drained, h.drainedHeard = hemlockmember.Leaving, h.address, time.Now()
 	service, slots := h.service, h.slots
 	h.mutex.Unlock()
 	h.log.Info("target leaving", "service", service)
--- /dev/null
+++ b/hemlocknode/health_test.go
@@ -0,0 +1,94 @@
+package hemlocknode
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockmember"
+	"hemlockhollow/hemlocktarget"
+)
+
+// Guards against work for a target that has sent its drain notice and goes on announcing itself while its successor
+// on another port is ready.
+func TestDrainingTargetDoesNotReplaceItsSuccessor(t *testing.T) {
+	c := newCluster(t)
+	n := c.node("a", nil)
+	announce := func(address string) {
+		if err := n.health.Announce(hemlocktarget.Announcement{Service: "pages", Slots: 8, Address: address}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce("127.210.0.200:1")
+	n.health.Drain()
+	announce("127.210.0.200:1")
+	if !n.health.draining() {
+		t.Fatal("an announcement undid the drain notice")
+	}
+	announce("127.210.0.200:2")
+	announce("127.210.0.200:1")
+	if state := n.health.State(); state.Address != "127.210.0.200:2" || state.State != hemlockmember.Ready.String() {
+		t.Errorf("after the successor's announcement the target is %s at %s", state.State, state.Address)
+	}
+}
+
+// Guards against slots and connections that stay at an older version of the service file.
+func TestSlotsFollowTheConfiguration(t *testing.T) {
+	c := newCluster(t)
+	c.publish(pagesFile)
+	n := c.node("a", nil)
+	c.target(n, "pages", says("a"))
+	slots := func() int { return n.announcer.gossip.Self().Slots }
+	eventually(t, "the slots of the first version", func() bool { return n.version() == 1 && slots() == 80 })
+	c.publish(strings.Replace(pagesFile, "slots = 80", "slots = 40", 1))
+	eventually(t, "the slots of the second version", func() bool { return slots() == 40 })
+	eventually(t, "the limit follows", func() bool { return n.server.admission.Snapshot(time.Now()).Limit <= 40 })
+}
+
+// Guards against work for a target that leaves while its drain notice is lost.
+func TestSilentTargetGetsNoWork(t *testing.T) {
+	c := newCluster(t)
+	c.publish(pagesFile)
+	caller, leaving, staying := c.node("a", nil), c.node("a", nil), c.node("a", nil)
+	silent := c.target(leaving, "pages", says("page"))
+	c.target(staying, "pages", says("page"))
+	eventually(t, "both targets are known", func() bool { return caller.ready() == 2 && caller.version() == 1 })
+	silent.silent.Store(true)
+	eventually(t, "the target counts as lost", func() bool { return !leaving.health.serves("pages") })
+	ran := silent.runs.Load()
+	for range 100 {
+		if status, text, err := send("GET", "http://"+caller.callers+"/pages/x", nil); status != http.StatusOK || err != nil {
+			t.Fatalf("a request got %d %s %v", status, text, err)
+		}
+	}
+	if silent.runs.Load() != ran {
+		t.Error("the silent target got new work")
+	}
+}
+
+// Guards against retries spent on a node that leaves while its announcement is lost.
+func TestCallMovesOnFromLeavingNodeAtNoCost(t *testing.T) {
+	c := newCluster(t)
+	c.publish(pagesFile)
+	caller, leaving, staying := c.node("a", nil), c.node("a", nil), c.node("a", nil)
+	gone := c.target(leaving, "pages", says("page"))
+	c.target(staying, "pages", says("page"))
+	eventually(t, "both targets are known", func() bool { return caller.ready() == 2 && caller.version() == 1 })
+	leaving.server.leaving.Store(true)
+	ran := gone.runs.Load()
+	_, err := leaving.server.Invoke(t.Context(), pageRequest(0))
+	if refusal := hemlockcall.AsRefusal(err); refusal.Verdict != hemlockcall.NotRun || refusal.Reason != hemlockcall.ReasonLeaving {
+		t.Errorf("the leaving node answered %v, want a refusal as not run", err)
+	}
+	// The class allows no retry, so every answer shows that moving on was free.
+	for range 100 {
+		if status, text, err := send("GET", "http://"+caller.callers+"/pages/x", nil); status != http.StatusOK || err != nil {
+			t.Fatalf("a request got %d %s %v", status, text, err)
+		}
+	}
+	if gone.runs.Load() != ran {
+		t.Error("the target of the leaving node got new work")
+	}
+}
