Refuse queued requests when the target sends its drain notice

Cause: the drain notice was checked on arrival only. Requests that waited for a slot at that moment were sent to the leaving target, up to their time-outs.

Change: it is checked again when the slot is given; the request is refused as not run because the target is leaving, and the caller's node moves on at no cost.

Before the change the test failed with: 20 queued requests were sent to the draining target

Conclusion: a target gets nothing new after its drain notice.

--- a/hemlocknode/health_test.go
+++ b/hemlocknode/health_test.go
@@ -34,6 +34,41 @@
 	}
 }
 
+// Guards against requests that are sent to a target after its drain notice because they were queued before it.
+func TestQueuedRequestIsNotSentToDrainingTarget(t *testing.T) {
+	c := newCluster(t)
+	c.publish(pagesFile)
+	n := c.node("a", nil)
+	blocked := make(chan struct{})
+	target := c.target(n, "pages", func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-blocked
+		}
+	})
+	eventuallyServes(t, n, "GET", "/pages/fast", "")
+	before := target.runs.Load()
+	answers := make(chan int, 30)
+	for range cap(answers) {
+		go func() {
+			status, _, _ := send("GET", "http://"+n.callers+"/pages/slow", nil)
+			answers <- status
+		}()
+	}
+	eventually(t, "requests are queued", func() bool {
+		s := n.server.admission.Snapshot(time.Now())
+		return s.Queued+s.InFlight == cap(answers) && s.Queued > 0 && target.runs.Load() == before+int64(s.InFlight)
+	})
+	running := target.runs.Load()
+	n.health.Drain()
+	close(blocked)
+	for range cap(answers) {
+		<-answers
+	}
+	if now := target.runs.Load(); now != running {
+		t.Errorf("%d queued requests were sent to the draining target", now-running)
+	}
+}
+
 // Guards against slots and connections that stay at an older version of the service file.
 func TestSlotsFollowTheConfiguration(t *testing.T) {
 	c := newCluster(t)
--- a/hemlocknode/serve.go
+++ b/hemlocknode/serve.go
@@ -79,13 +79,22 @@
 		s.admission.Finish(now, admitted, hemlockadmission.Outcome{Result: hemlockadmission.Cancelled})
 		return nil, s.refuseSuspect().WithFeedback(unused)
 	}
+	// The drain notice may have come while the request waited.
+	if s.health.draining() {
+		s.admission.Finish(now, admitted, hemlockadmission.Outcome{Result: hemlockadmission.Cancelled})
+		return nil, refuseLeaving().WithFeedback(unused)
+	}
 	return s.run(ctx, now, request, admitted)
 }
 
+func refuseLeaving() *hemlockcall.Refusal {
+	return hemlockcall.Refuse(hemlockcall.ReasonLeaving, "the target is leaving")
+}
+
 func (s *Server) check(now time.Time, request *hemlockcall.Request) *hemlockcall.Refusal {
 	switch {
 	case s.leaving.Load() || s.health.draining():
-		return hemlockcall.Refuse(hemlockcall.ReasonLeaving, "the target is leaving")
+		return refuseLeaving()
 	case !s.health.serves(request.Service):
 		return hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "the target does not serve "+request.Service)
 	case request.Context.Depth > hemlockcall.MaxDepth:
