--- a/hemlocknode/shutdown.go
+++ b/hemlocknode/shutdown.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"hemlockhollow/hemlockerror"
-	"hemlockhollow/hemlockmember"
 )
 
 // shutdown stops the node without cutting off a request: it announces that it leaves, refuses new calls of peers as
@@ -19,7 +18,7 @@
 	n.server.leaving.Store(true)
 	n.reporter.stopping.Store(true)
 	state := n.health.State()
-	n.announcer.announce(state.Service, hemlockmember.Leaving, state.Slots)
+	n.announcer.leave(state.Service, state.Slots)
 	n.peers.Drain()
 	n.callers.Drain()
 	pause(ctx, n.settings.DrainGrace)
@@ -30,11 +29,16 @@
 		n.target.Shutdown,
 		n.operators.Shutdown,
 	}
+	// When the time is over, the remaining steps still close their listeners, without which the process does not end.
+	var failure error
 	for _, step := range steps {
-		if err := step(ctx); err != nil {
-			return hemlockerror.Wrap("stop", KindStop, err)
+		if err := step(ctx); err != nil && failure == nil {
+			failure = hemlockerror.Wrap("stop", KindStop, err)
 		}
 	}
+	if failure != nil {
+		return failure
+	}
 	n.log.Info("node stopped", "duration", time.Since(start).String())
 	return nil
 }
