Keep no estimates for requests without a class

Cause: requests that name no class shared one record, so that a short request with little time left was dropped for the service time of long ones, and all were paced together.

Change: without a class, a request is dropped only when its time is over, and is never paced; the same holds beyond 64 classes.

Conclusion: a caller that does not fill in the class gets no harm from these two mechanisms.

--- a/hemlockadmission/class.go
+++ b/hemlockadmission/class.go
@@ -56,11 +56,17 @@
 
 // shortest is a careful estimate of the time that a run needs: a request with less time left rarely finishes.
 func (k *class) shortest() time.Duration {
+	if k == nil {
+		return 0
+	}
 	return max(0, k.mean-k.deviation)
 }
 
 // observe takes in the end of a run.
 func (k *class) observe(now time.Time, o Outcome) {
+	if k == nil {
+		return
+	}
 	switch o.Result {
 	case Completed:
 		k.estimate(o.Service)
@@ -104,7 +110,7 @@
 
 // pass reports whether the next offered request belongs to the admitted share.
 func (k *class) pass(now time.Time) bool {
-	if k.share >= 1 {
+	if k == nil || k.share >= 1 {
 		return true
 	}
 	k.credit += k.share
@@ -115,17 +121,13 @@
 	return true
 }
 
-// classOf returns the record of a class, or one shared by all when there are too many.
+// classOf returns the record of a class, or nil for requests that name none and when there are too many classes: a
+// record of different requests would drop short ones for the service time of long ones.
 func (c *Controller[T]) classOf(name string) *class {
 	k := c.classes[name]
-	if k == nil {
-		if len(c.classes) >= maxClasses {
-			name = ""
-		}
-		if k = c.classes[name]; k == nil {
-			k = &class{share: 1}
-			c.classes[name] = k
-		}
+	if k == nil && name != "" && len(c.classes) < maxClasses {
+		k = &class{share: 1}
+		c.classes[name] = k
 	}
 	return k
 }
--- a/hemlockadmission/class_test.go
+++ b/hemlockadmission/class_test.go
@@ -53,3 +53,24 @@
 		}
 	})
 }
+
+// Guards against a short request that is dropped for the service time of requests of another class, or of none.
+func TestServiceTimesOfClassesAreKeptApart(t *testing.T) {
+	c := New(10, func(*Ticket[int]) {})
+	for _, name := range []string{"upload", ""} {
+		for range 20 {
+			k := c.Offer(start, Demand{Priority: hemlockcall.Important, Remaining: time.Minute, Class: name}, 0)
+			c.Finish(start, k, Outcome{Result: Completed, Service: 10 * time.Second})
+		}
+	}
+	late := c.Offer(start, Demand{Priority: hemlockcall.Important, Remaining: time.Second, Class: "upload"}, 0)
+	if late.Admitted() {
+		t.Error("an upload began without the time to finish")
+	}
+	for _, name := range []string{"status", ""} {
+		d := Demand{Priority: hemlockcall.Important, Remaining: time.Second, Class: name}
+		if k := c.Offer(start, d, 0); !k.Admitted() {
+			t.Errorf("a request of class %q was dropped: %v", name, k.Refusal())
+		}
+	}
+}
--- a/hemlockadmission/controller.go
+++ b/hemlockadmission/controller.go
@@ -22,7 +22,7 @@
 	plain    *queue[T]
 	suspect  *queue[T] // suspects wait apart, so that one that must wait does not hold up the others
 	held     [hemlockcall.Priorities]time.Time
-	classes  map[string]*class // at most maxClasses and the shared one
+	classes  map[string]*class // at most maxClasses
 	sequence uint64
 	counters Counters
 }
--- a/hemlockadmission/ticket.go
+++ b/hemlockadmission/ticket.go
@@ -20,7 +20,8 @@
 	Remaining time.Duration
 	// Suspect marks a request that was in flight when a target died; at most one runs at a time.
 	Suspect bool
-	// Class tells requests apart whose service times and nested calls differ; it may be empty.
+	// Class tells requests apart whose service times and nested calls differ. Without it, requests are dropped only when
+	// their time is over, and are not paced by their nested calls.
 	Class string
 }
 
