Crash the targets that the storm leaves in use, and use a critical killer request

Cause: the crash hit the studio, which completes nothing in the storm, and the request that crashes targets was a fold, which is shed in the storm. Neither case said anything about cold starts or crash suspects.

Change: a third of the counter's targets crash; the killer request is a critical one to the counter.

--- a/hemlockbench/caller.go
+++ b/hemlockbench/caller.go
@@ -115,6 +115,6 @@
 // sendKiller sends the request that crashes targets, to another entry node each time.
 func (s *simulation) sendKiller() {
 	if triggered(s.loop.now) {
-		s.send(&request{class: &s.house.Classes[1], entry: s.entry(), customer: "killer", fingerprint: 1, killer: true})
+		s.send(&request{class: &s.killer, entry: s.entry(), customer: "killer", fingerprint: 1, killer: true})
 	}
 }
--- a/hemlockbench/ideal.go
+++ b/hemlockbench/ideal.go
@@ -83,7 +83,7 @@
 		if back := since - restartTime; back >= 0 {
 			lost = max(0, (1-coldCapacity)*(1-float64(back)/float64(coldTime)))
 		}
-		left[studio] -= lost * float64(h.Services[studio].Slots)
+		left[crashed] -= lost * float64(h.Services[crashed].Slots)
 	}
 	return left
 }
--- a/hemlockbench/scenario.go
+++ b/hemlockbench/scenario.go
@@ -24,18 +24,22 @@
 	Surge float64
 	// Repeats is how often a caller sends a failed request again.
 	Repeats int
-	// Crash kills a third of the studio's targets 5 s into the trigger; they come back cold after 10 s.
+	// Crash kills a third of the targets of the crashed service 5 s into the trigger; they come back cold after 10 s.
 	Crash bool
 	// ZoneCut cuts the last zone off from the others for 10 s, 5 s into the trigger.
 	ZoneCut bool
 	// PlatformOut makes the platform unreachable for the whole trigger.
 	PlatformOut bool
-	// Killer is a request that crashes each target that runs it, repeated twice a second.
+	// Killer is a critical request to the crashed service that crashes each target that runs it, repeated twice a
+	// second. A sheddable one would be shed in the storm.
 	Killer bool
 	// Gray makes one target of the orders service ten times slower, while it reports no load.
 	Gray bool
 }
 
+// crashed is the service whose targets crash: its requests are the ones that the storm leaves some slots for.
+const crashed = counter
+
 // Scenarios returns all cases.
 func Scenarios() []Scenario {
 	storm := func(name string) Scenario {
--- a/hemlockbench/simulation.go
+++ b/hemlockbench/simulation.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockrouting"
 )
 
@@ -18,6 +19,7 @@
 	nodes       []*node
 	zones       [][]*node
 	byAddress   map[string]*node
+	killer      Class // the class of the request that crashes targets
 	fingerprint uint64
 	cut         bool // the last zone is cut off
 	known       bool // the cut is known to the members
@@ -29,6 +31,12 @@
 		random: rand.New(rand.NewPCG(seed, 0)), byAddress: map[string]*node{}, zones: make([][]*node, len(zoneNames)),
 		fingerprint: 100}
 	s.meter = newMeter(house)
+	for _, c := range house.Classes {
+		if c.Path[0] == crashed {
+			s.killer = c
+			s.killer.Name, s.killer.Priority = "killer", hemlockcall.Critical
+		}
+	}
 	for service := range house.Services {
 		for index := range house.Services[service].Targets {
 			n := newNode(s, service, index)
@@ -58,7 +66,7 @@
 	if s.scenario.Crash {
 		s.loop.after(faultStart, func() {
 			for _, n := range s.nodes {
-				if n.target.service == studio && n.target.index == 0 {
+				if n.target.service == crashed && n.target.index == 0 {
 					n.crash()
 				}
 			}
