Tell the admission controller the class and nested refusals

Cause: the controller paces classes whose nested calls are refused, but the node told it neither the class nor the refusals.

Change: the called node matches the class; a nested call refused for load marks the request that made it.

--- a/hemlocknode/assembly.go
+++ b/hemlocknode/assembly.go
@@ -24,16 +24,17 @@
 }
 
 func provideServer(
-	admission *hemlockadmission.Controller[*waiter], target hemlockcall.Invoker, health *TargetHealth,
-	running *hemlocktrace.Table, suspects *hemlocksuspect.Table, metrics *Metrics,
+	configuration *hemlockconfiguration.Holder, admission *hemlockadmission.Controller[*waiter],
+	target hemlockcall.Invoker, health *TargetHealth, running *hemlocktrace.Table, suspects *hemlocksuspect.Table, metrics *Metrics,
 ) *Server {
 	return &Server{
-		admission: admission,
-		target:    target,
-		health:    health,
-		running:   running,
-		suspects:  suspects,
-		metrics:   metrics,
+		configuration: configuration,
+		admission:     admission,
+		target:        target,
+		health:        health,
+		running:       running,
+		suspects:      suspects,
+		metrics:       metrics,
 	}
 }
 
--- a/hemlocknode/calls.go
+++ b/hemlocknode/calls.go
@@ -196,7 +196,16 @@
 	request.Context = nested.
 		WithPriority(nestedPriority(nested.Priority, p.rule.Class)).
 		WithRemaining(min(nested.Remaining, p.rule.Timeout))
-	return c.invokeWithin(ctx, p, request, share)
+	response, err := c.invokeWithin(ctx, p, request, share)
+	if err != nil && isLoad(hemlockcall.AsRefusal(err).Reason) {
+		parent.MarkNestedShed()
+	}
+	return response, err
+}
+
+// isLoad reports whether a refusal came from load: at once, or at the deadline of a call that waited too long.
+func isLoad(reason hemlockcall.Reason) bool {
+	return reason == hemlockcall.ReasonOverload || reason == hemlockcall.ReasonDeadline
 }
 
 // orphanContext is the context of a call that belongs to no running request: the lowest priority and no retries.
--- a/hemlocknode/serve.go
+++ b/hemlocknode/serve.go
@@ -7,6 +7,7 @@
 
 	"hemlockhollow/hemlockadmission"
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockconfiguration"
 	"hemlockhollow/hemlockretry"
 	"hemlockhollow/hemlocksuspect"
 	"hemlockhollow/hemlocktrace"
@@ -24,12 +25,13 @@
 
 // Server is the called side of the data path: it admits calls to the local target and runs them there.
 type Server struct {
-	admission *hemlockadmission.Controller[*waiter]
-	target    hemlockcall.Invoker
-	health    *TargetHealth
-	running   *hemlocktrace.Table
-	suspects  *hemlocksuspect.Table
-	metrics   *Metrics
+	configuration *hemlockconfiguration.Holder
+	admission     *hemlockadmission.Controller[*waiter]
+	target        hemlockcall.Invoker
+	health        *TargetHealth
+	running       *hemlocktrace.Table
+	suspects      *hemlocksuspect.Table
+	metrics       *Metrics
 	// leaving refuses new calls; it is set when the node stops.
 	leaving atomic.Bool
 }
@@ -114,6 +116,7 @@
 func (s *Server) admit(ctx context.Context, now time.Time, request *hemlockcall.Request) (*ticket, *hemlockcall.Refusal) {
 	demand := hemlockadmission.Demand{
 		Priority:  request.Context.Priority,
+		Class:     s.classOf(request),
 		Rank:      request.Context.Rank,
 		Depth:     request.Context.Depth,
 		Remaining: remainingOf(ctx, request.Context.Remaining),
@@ -138,6 +141,16 @@
 	return offered, nil
 }
 
+// classOf tells requests apart whose service times and nested calls differ: by their class and, because nested calls
+// inherit it, by their priority.
+func (s *Server) classOf(request *hemlockcall.Request) string {
+	rule, matched := s.configuration.Current().Services[request.Service].Match(request.Method, request.Path)
+	if !matched {
+		return ""
+	}
+	return rule.Name + "/" + request.Context.Priority.String()
+}
+
 // execution is one request at the local target, from its slot to its end.
 type execution struct {
 	server  *Server
@@ -190,8 +203,12 @@
 func (e *execution) end(result hemlockadmission.Result) int {
 	now := time.Now()
 	e.cancel()
+	answered := result == hemlockadmission.Completed
 	unused := e.server.running.End(e.running)
-	cleared := e.server.suspects.Finished(now, e.flight, result == hemlockadmission.Completed)
+	if result != hemlockadmission.Shed && e.running.NestedShed() {
+		result = hemlockadmission.NestedShed
+	}
+	cleared := e.server.suspects.Finished(now, e.flight, answered)
 	e.server.admission.Finish(now, e.ticket, hemlockadmission.Outcome{Result: result, Service: now.Sub(e.start)})
 	e.server.health.spread(cleared)
 	return unused
--- a/hemlocknode/wire_gen.go
+++ b/hemlocknode/wire_gen.go
@@ -26,7 +26,7 @@
 	hemlocktargetClient := provideTargetClient(holder, targetHealth)
 	invoker := provideInvoker(hemlocktargetClient)
 	hemlocktraceTable := provideRunning()
-	server := provideServer(controller, invoker, targetHealth, hemlocktraceTable, table, metrics)
+	server := provideServer(holder, controller, invoker, targetHealth, hemlocktraceTable, table, metrics)
 	hemlockroutingTable := provideRouting(settings)
 	dispatcher := provideDispatcher(settings, server, client, hemlockroutingTable, table, gossip, metrics)
 	hemlockplatformClient := providePlatform(settings, open)
--- a/hemlocktrace/table.go
+++ b/hemlocktrace/table.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockhollow/hemlockcall"
@@ -15,7 +16,7 @@
 // is 190, and cancelled requests may stay a while after their slot was given up.
 const defaultSize = 4096
 
-// Running is one request that runs at the local target. Its fields never change.
+// Running is one request that runs at the local target. Its exported fields never change.
 type Running struct {
 	// Context is the context that the call brought.
 	Context hemlockcall.Context
@@ -27,6 +28,18 @@
 	Started time.Time
 	ledger  *hemlockretry.Ledger
 	cancel  context.CancelFunc
+	// nestedShed is set when a nested call was refused for load or at its deadline.
+	nestedShed atomic.Bool
+}
+
+// MarkNestedShed records that a nested call was refused for load, so that the work of this request is probably wasted.
+func (r *Running) MarkNestedShed() {
+	r.nestedShed.Store(true)
+}
+
+// NestedShed reports whether a nested call was refused for load.
+func (r *Running) NestedShed() bool {
+	return r.nestedShed.Load()
 }
 
 // Cancel ends the request and the calls below it. It may be called more than once.
