Test the repeat of an order whose answer was too large to be stored

Cause: an answer above max-answer is passed on unstored, and nothing checked what a repeat gets.

Change: the test sends such an order and its repeats with the same key.

Seen failing with an attempt without answer refused as not run: the repeat of /orders/large got 409 not-runclaimed, want an unknown outcome

Conclusion: the repeat gets 502 with the verdict unknown and the reason claimed, and the order does not run again. That is what the design asks for: a claim without a response gives an unknown outcome.

--- /dev/null
+++ b/hemlocknode/once_test.go
@@ -0,0 +1,45 @@
+package hemlocknode
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// Guards against an order that runs again, or whose repeat is refused as not run, because its answer was too large to
+// be stored.
+func TestRepeatOfOrderWithLargeAnswer(t *testing.T) {
+	c := newCluster(t)
+	c.publish(ordersFile)
+	n := c.node("a", nil)
+	large := strings.Repeat("x", 65<<10)
+	target := c.target(n, "orders", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			_, _ = w.Write([]byte(large))
+			return
+		}
+		_, _ = w.Write([]byte("small"))
+	})
+	eventuallyServes(t, n, "POST", "/orders/small", "small")
+	for path, stored := range map[string]bool{"/orders/large": false, "/orders/small": true} {
+		key, before := newKey(t), target.runs.Load()
+		status, first, err := send("POST", "http://"+n.callers+path, key)
+		if status != http.StatusOK || err != nil {
+			t.Fatalf("%s got %d %v", path, status, err)
+		}
+		for range 3 {
+			status, text, err := send("POST", "http://"+n.callers+path, key)
+			switch {
+			case err != nil:
+				t.Errorf("the repeat of %s got no answer: %v", path, err)
+			case stored && (status != http.StatusOK || text != first):
+				t.Errorf("the repeat of %s got %d and not the stored answer", path, status)
+			case !stored && (status != http.StatusBadGateway || !strings.HasPrefix(text, "unknownclaimed")):
+				t.Errorf("the repeat of %s got %d %s, want an unknown outcome", path, status, text)
+			}
+		}
+		if runs := target.runs.Load() - before; runs != 1 {
+			t.Errorf("%s ran %d times", path, runs)
+		}
+	}
+}
