Answer uploads that stall, bound answers, and settle smaller faults

Cause: a read that waits for the sender of an upload does not see the end of its request, and net/http writes no answer before that read returns. max-answer was not enforced for classes that may be repeated, and max-body above 256 KiB passed the check for classes that may not.

Keys of the dump are kebab case, the peers' counter has its prefix once, verbose log lines are called debug, and a configuration that cannot be loaded is no longer logged every second.

Ruled out: a read timeout of the server, because uploads may take minutes.

--- a/hemlockcaller/listener.go
+++ b/hemlockcaller/listener.go
@@ -102,8 +102,10 @@
 		hemlockhttp.WriteRefusal(w, err)
 		return
 	}
+	upload := hemlockhttp.NewUpload(w, request)
 	response, err := l.handler(r.Context(), request, callerOf(r))
 	if err != nil {
+		upload.Interrupt()
 		hemlockhttp.WriteRefusal(w, err)
 		return
 	}
--- a/hemlockmember/gossip.go
+++ b/hemlockmember/gossip.go
@@ -77,7 +77,12 @@
 
 // Counts are the counters of an engine since its start.
 type Counts struct {
-	Messages, Bytes, Declared, Refuted, Exchanges, Delayed uint64
+	Messages  uint64 `json:"messages"`
+	Bytes     uint64 `json:"bytes"`
+	Declared  uint64 `json:"declared"`
+	Refuted   uint64 `json:"refuted"`
+	Exchanges uint64 `json:"exchanges"`
+	Delayed   uint64 `json:"delayed"`
 }
 
 // Option changes a Gossip.
--- a/hemlocknode/answer.go
+++ b/hemlocknode/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"sync"
 
@@ -35,6 +36,35 @@
 	}, nil
 }
 
+// boundAnswer refuses a response that is larger than its class allows. One of unknown length is cut off at the bound,
+// which its reader sees as a break.
+func boundAnswer(response *hemlockcall.Response, limit int64) (*hemlockcall.Response, error) {
+	if response.Length > limit {
+		_ = response.Body.Close()
+		return nil, hemlockcall.Doubt(hemlockcall.ReasonTooLarge, errAnswerTooLarge.Error())
+	}
+	if response.Length < 0 {
+		response.Body = &boundedBody{ReadCloser: response.Body, left: limit}
+	}
+	return response, nil
+}
+
+var errAnswerTooLarge = errors.New("response is larger than its class allows")
+
+type boundedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		return 0, errAnswerTooLarge
+	}
+	return n, err
+}
+
 // observedBody calls done once: with true when the body was read to its verified end, with false when it broke off or
 // was closed early.
 type observedBody struct {
--- /dev/null
+++ b/hemlocknode/answer_test.go
@@ -0,0 +1,36 @@
+package hemlocknode
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"hemlockhollow/hemlockcall"
+)
+
+func responseOf(text string, length int64) *hemlockcall.Response {
+	return &hemlockcall.Response{
+		Status:   200,
+		Body:     io.NopCloser(strings.NewReader(text)),
+		Length:   length,
+		Feedback: func() hemlockcall.Feedback { return hemlockcall.Feedback{} },
+	}
+}
+
+// Guards against a response that is larger than its class allows and passes as complete.
+func TestAnswersAreBounded(t *testing.T) {
+	if _, err := boundAnswer(responseOf("12345", 5), 4); hemlockcall.AsRefusal(err).Reason != hemlockcall.ReasonTooLarge {
+		t.Errorf("a known length above the bound gave %v", err)
+	}
+	streamed, err := boundAnswer(responseOf("12345", -1), 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := io.ReadAll(streamed.Body); err == nil {
+		t.Errorf("a stream above the bound ended as complete: %q", text)
+	}
+	within, _ := boundAnswer(responseOf("1234", -1), 4)
+	if text, err := io.ReadAll(within.Body); err != nil || string(text) != "1234" {
+		t.Errorf("a stream within the bound gave %q, %v", text, err)
+	}
+}
--- a/hemlocknode/calls.go
+++ b/hemlocknode/calls.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/rand"
+	"io"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockconfiguration"
@@ -85,6 +87,7 @@
 func (c *Calls) enterWithin(
 	ctx context.Context, start time.Time, p plan, request *hemlockcall.Request, from Credentials,
 ) (*hemlockcall.Response, error) {
+	interruptAtEnd(ctx, request.Body)
 	body, err := readBody(request.Body, request.Length, p.rule.MaxBody, c.budget)
 	if err != nil {
 		return nil, err
@@ -102,6 +105,22 @@
 	return response, err
 }
 
+// interruptible is a body whose blocked Read can be ended.
+type interruptible interface {
+	Interrupt()
+}
+
+// interruptAtEnd ends a stalled upload when the time of its request is over.
+func interruptAtEnd(ctx context.Context, body io.Reader) {
+	if upload, ok := body.(interruptible); ok {
+		context.AfterFunc(ctx, func() {
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				upload.Interrupt()
+			}
+		})
+	}
+}
+
 // sender identifies whose repeats are counted together: the customer, or the host of an unknown caller.
 func (c Credentials) sender(customer string) string {
 	if customer != "" {
@@ -145,6 +164,9 @@
 		}
 	}
 	response, err := invoke(ctx, request, body)
+	if err == nil && !p.rule.Once {
+		response, err = boundAnswer(response, p.rule.MaxAnswer)
+	}
 	if err != nil || isBounded(response) {
 		body.close()
 		return response, err
@@ -224,6 +246,7 @@
 	ctx context.Context, p plan, request *hemlockcall.Request, share *hemlockretry.Share,
 ) (*hemlockcall.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, request.Context.Remaining)
+	interruptAtEnd(ctx, request.Body)
 	body, err := readBody(request.Body, request.Length, p.rule.MaxBody, c.budget)
 	if err != nil {
 		cancel()
--- a/hemlocknode/configuration.go
+++ b/hemlocknode/configuration.go
@@ -90,7 +90,8 @@
 	}
 	loaded, err := hemlockconfiguration.Load(ctx, w.store, head)
 	if err != nil {
-		w.log.Error(err, "configuration not loaded", "version", head.Version)
+		// This repeats every second while it lasts; the gauge of the version shows it.
+		w.log.V(1).Info("configuration not loaded", "version", head.Version, "error", err.Error())
 		return
 	}
 	w.take(loaded, "platform")
--- a/hemlocknode/log.go
+++ b/hemlocknode/log.go
@@ -20,6 +20,7 @@
 	configuration.Level = zap.NewAtomicLevelAt(verbosity[level])
 	configuration.OutputPaths = []string{"stderr"}
 	configuration.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	configuration.EncoderConfig.EncodeLevel = encodeLevel
 	configuration.DisableStacktrace = true
 	// Sampling would drop state changes, which are rare and all needed.
 	configuration.Sampling = nil
@@ -29,3 +30,8 @@
 	}
 	return zapr.NewLogger(sink), nil
 }
+
+// encodeLevel names all verbose levels debug; zap has no names below that.
+func encodeLevel(level zapcore.Level, encoder zapcore.PrimitiveArrayEncoder) {
+	zapcore.LowercaseLevelEncoder(max(level, zapcore.DebugLevel), encoder)
+}
--- a/hemlocknode/node.go
+++ b/hemlocknode/node.go
@@ -80,7 +80,7 @@
 	options := []hemlockpeer.Option{
 		hemlockpeer.WithExchange(n.announcer.Receive),
 		hemlockpeer.WithConfiguration(n.watch.serve),
-		hemlockpeer.WithScope(n.metrics.scope.SubScope("peer")),
+		hemlockpeer.WithScope(n.metrics.scope),
 	}
 	if n.claims.batcher != nil {
 		options = append(options, hemlockpeer.WithClaim(collectClaims(n.claims.batcher)))
--- a/hemlocknode/providers.go
+++ b/hemlocknode/providers.go
@@ -48,7 +48,7 @@
 }
 
 func providePeerClient(m *Metrics, open dials) *hemlockpeer.Client {
-	options := []hemlockpeer.Option{hemlockpeer.WithScope(m.scope.SubScope("peer"))}
+	options := []hemlockpeer.Option{hemlockpeer.WithScope(m.scope)}
 	if open.peers != nil {
 		options = append(options, hemlockpeer.WithDial(open.peers))
 	}
--- a/hemlocknode/settings.go
+++ b/hemlocknode/settings.go
@@ -99,8 +99,8 @@
 	}
 	if s.Platform != "" {
 		parsed, err := url.Parse(s.Platform)
-		if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
-			return settingError("platform", s.Platform, "a URL such as http://IP:PORT")
+		if err != nil || parsed.Scheme != "http" || parsed.Path != "" || !isAddress(parsed.Host) {
+			return settingError("platform", s.Platform, "http://IP:PORT")
 		}
 	}
 	if !contains(LogLevels, s.LogLevel) {
@@ -118,6 +118,11 @@
 	return nil
 }
 
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
 func settingError(flag, value, allowed string) error {
 	return hemlockerror.Wrap("read settings", KindSetting, errors.Errorf("--%s %q: allowed is %s", flag, value, allowed))
 }
--- a/hemlockservice/check.go
+++ b/hemlockservice/check.go
@@ -105,6 +105,10 @@
 	checkRange(r, at+".retries", c.Retries, 0, maxRetries)
 	checkSize(r, at+".max-body", c.MaxBody, maxBody)
 	checkSize(r, at+".max-answer", c.MaxAnswer, maxAnswer)
+	if c.Repeat == repeatNever && c.MaxBody > maxClaimedBody {
+		r.report(at+".max-body", "max-body is %s; the body of a class that is never repeated is held whole, at most %s",
+			formatSize(int64(c.MaxBody)), formatSize(maxClaimedBody))
+	}
 	if c.Repeat == repeatNever && c.MaxAnswer > maxStoredAnswer {
 		r.report(at+".max-answer", "max-answer is %s; the response of a class that is never repeated is stored, at most %s",
 			formatSize(int64(c.MaxAnswer)), formatSize(maxStoredAnswer))
--- a/hemlockservice/draft.go
+++ b/hemlockservice/draft.go
@@ -15,7 +15,9 @@
 const (
 	defaultClaimRetention = 48 * time.Hour
 	defaultMaxBody        = 1 << 20
-	defaultMaxAnswer      = 64 << 20
+	// maxClaimedBody is what a node reads of a body before the call: the digest of a claim covers the whole body.
+	maxClaimedBody   = 256 << 10
+	defaultMaxAnswer = 64 << 20
 	// A claim stores the response of a class that is never repeated; up to 64 KiB fits into its row.
 	defaultMaxStoredAnswer = 64 << 10
 	defaultRank            = 255
--- a/hemlockservice/parse.go
+++ b/hemlockservice/parse.go
@@ -128,6 +128,9 @@
 			c.MaxAnswer = defaultMaxStoredAnswer
 		}
 	}
+	if _, ok := b.Body.Attributes["max-body"]; !ok && c.Repeat == repeatNever {
+		c.MaxBody = maxClaimedBody
+	}
 	for _, inner := range b.Body.Blocks {
 		if inner.Type != "match" {
 			p.reportAt(inner.TypeRange.Start, "unknown block %q; allowed is match", inner.Type)
--- a/hemlockservice/service.go
+++ b/hemlockservice/service.go
@@ -16,7 +16,7 @@
 //	repeat      never or safe; required
 //	timeout     how long a caller waits; required, 10ms to 10m
 //	retries     allowance for the whole call chain; 0 to 16, default 0
-//	max-body    largest request body; 1B to 4GiB, default 1MiB
+//	max-body    largest request body; 1B to 4GiB, default 1MiB; for repeat "never" up to 256KiB, default 256KiB
 //	max-answer  largest response body; up to 4GiB, default 64MiB; for repeat "never" up to 1MiB, default 64KiB
 //
 // A match block has a path, and a method unless it matches all methods. A trailing /* of the path matches the path
--- a/hemlocktarget/listener.go
+++ b/hemlocktarget/listener.go
@@ -11,6 +11,7 @@
 	"github.com/emicklei/go-restful/v3"
 	"github.com/pkg/errors"
 
+	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockerror"
 	"hemlockhollow/hemlockhttp"
 )
@@ -105,8 +106,12 @@
 		hemlockhttp.WriteRefusal(w, err)
 		return
 	}
+	request := &hemlockcall.Request{Body: outgoing.Body}
+	upload := hemlockhttp.NewUpload(w, request)
+	outgoing.Body = request.Body
 	response, err := l.handlers.Call(r.Context(), outgoing)
 	if err != nil {
+		upload.Interrupt()
 		hemlockhttp.WriteRefusal(w, err)
 		return
 	}
--- a/hemlocktrace/table.go
+++ b/hemlocktrace/table.go
@@ -87,11 +87,13 @@
 // Counts are the counters of a table since its start.
 type Counts struct {
 	// Begun counts all requests.
-	Begun uint64
+	Begun uint64 `json:"begun"`
 	// Overflowed counts requests that were not entered because the table was full.
-	Overflowed uint64
+	Overflowed uint64 `json:"overflowed"`
 	// Exact and ByTrace count calls matched by both ids and by the trace id alone; Unknown counts unmatched calls.
-	Exact, ByTrace, Unknown uint64
+	Exact   uint64 `json:"exact"`
+	ByTrace uint64 `json:"by-trace"`
+	Unknown uint64 `json:"unknown"`
 }
 
 // Option changes a Table.
--- a/proofs/send_test.go
+++ b/proofs/send_test.go
@@ -1,9 +1,13 @@
 package proofs
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // send makes one call and returns its status.
@@ -24,3 +28,29 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return response.StatusCode, err
 }
+
+// sendPart sends the beginning of an upload and waits for the answer, which has to be a refusal.
+func sendPart(address, path string, length, sent int) error {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = connection.Close() }()
+	if err := connection.SetDeadline(time.Now().Add(limit)); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(connection, "PUT %s HTTP/1.1\r\nHost: node\r\nContent-Length: %d\r\n\r\n%s",
+		path, length, make([]byte, sent))
+	if err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get("Hemlock-Verdict") == "" {
+		return fmt.Errorf("status %d without a verdict", response.StatusCode)
+	}
+	return nil
+}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -125,7 +125,10 @@
 	var matched uint64
 	for _, h := range d.cluster.Hosts {
 		var state struct {
-			Contexts struct{ Exact, ByTrace uint64 } `json:"contexts"`
+			Contexts struct {
+				Exact   uint64 `json:"exact"`
+				ByTrace uint64 `json:"by-trace"`
+			} `json:"contexts"`
 		}
 		if err := d.cluster.Get("http://"+h.Operators()+"/state", &state); err != nil {
 			return err
