Apply changes of the target's state one after the other

Cause: the state of the local target was changed under its lock, but slots and announcement were set after the lock was released. When a target announced itself at the moment at which it was marked as lost, the two could cross: the node counted the target as ready, with no slots and announced as joining. Later announcements changed nothing, so the target got no work until it restarted or its slots changed.

Change: a second lock is held over a change and what follows from it.

Conclusion: state, slots and announcement end at the same state. The path of calls does not take the new lock.

--- a/hemlocknode/health.go
+++ b/hemlocknode/health.go
@@ -33,7 +33,10 @@
 	announcer     *Announcer
 	log           logr.Logger
 
-	mutex sync.Mutex
+	// changes is held over a change of state and what follows from it in admission and gossip, so that these always
+	// end at the last state. It is taken before mutex.
+	changes sync.Mutex
+	mutex   sync.Mutex
 	// service is empty until the first announcement.
 	service   string
 	address   string
@@ -72,6 +75,8 @@
 
 // Announce takes in an announcement of the target.
 func (h *TargetHealth) Announce(a hemlocktarget.Announcement) error {
+	h.changes.Lock()
+	defer h.changes.Unlock()
 	h.mutex.Lock()
 	if h.drained == a.Address && time.Since(h.drainedHeard) < announcementExpiry {
 		// A draining target goes on announcing until it stops. After a pause it is another process.
@@ -111,6 +116,8 @@
 
 // Drain takes in the drain notice of the target: no new work is sent to it.
 func (h *TargetHealth) Drain() {
+	h.changes.Lock()
+	defer h.changes.Unlock()
 	h.mutex.Lock()
 	if h.state == hemlockmember.Leaving {
 		h.mutex.Unlock()
@@ -154,6 +161,8 @@
 
 // lost marks the target as gone. What was in flight at a crash becomes suspect.
 func (h *TargetHealth) lost(why string) {
+	h.changes.Lock()
+	defer h.changes.Unlock()
 	h.mutex.Lock()
 	wasLeaving := h.state == hemlockmember.Leaving
 	h.state = hemlockmember.Joining
--- a/hemlocknode/health_test.go
+++ b/hemlocknode/health_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,6 +35,29 @@
 	}
 }
 
+// Guards against a target that announces itself at the moment at which it is lost, and then counts as ready without
+// slots until it restarts.
+func TestAnnouncementDuringLossIsNotLost(t *testing.T) {
+	c := newCluster(t)
+	n := c.node("a", nil)
+	announce := func() {
+		_ = n.health.Announce(hemlocktarget.Announcement{Service: "pages", Slots: 8, Address: "127.210.0.200:1"})
+	}
+	for round := range 5000 {
+		announce()
+		var both sync.WaitGroup
+		both.Go(announce)
+		both.Go(func() { n.health.lost("no announcement") })
+		both.Wait()
+		announce()
+		limit, state := n.server.admission.Snapshot(time.Now()).Limit, n.announcer.gossip.Self().State
+		if !n.health.serves("pages") || limit == 0 || state != hemlockmember.Ready {
+			t.Fatalf("in round %d the target is %s with a limit of %d, and announced as %v",
+				round, n.health.State().State, limit, state)
+		}
+	}
+}
+
 // Guards against requests that are sent to a target after its drain notice because they were queued before it.
 func TestQueuedRequestIsNotSentToDrainingTarget(t *testing.T) {
 	c := newCluster(t)
