Return the allowance of an order that is refused for its size

Cause: a nested order with a body above the read-ahead size is refused before it is sent, but the refusal reported no unused retries, so the share of the call was lost to the rest of the customer request.

Change: the refusal reports the whole share, as the other refusals before sending do.

Before the change the test failed with: body too large for an order: 2 of 4 retries are left

Conclusion: a call that is refused before it is sent costs no allowance. The bound itself was never at risk.

--- a/hemlocknode/once.go
+++ b/hemlocknode/once.go
@@ -25,7 +25,8 @@
 	ctx context.Context, p plan, request *hemlockcall.Request, body *requestBody,
 ) (*hemlockcall.Response, error) {
 	if !body.whole() {
-		return nil, hemlockcall.Refuse(hemlockcall.ReasonTooLarge, "a request that may not be repeated has a body of at most 256 KiB")
+		return nil, hemlockcall.Refuse(hemlockcall.ReasonTooLarge, "a request that may not be repeated has a body of at most 256 KiB").
+			WithFeedback(hemlockcall.Feedback{Retries: request.Context.Retries})
 	}
 	claimer := c.claims.For(p.service.Name, p.service.ClaimRetention)
 	digest := hemlockclaim.Digest(request.Method, request.Path, body.prefix)
--- a/hemlocknode/once_test.go
+++ b/hemlocknode/once_test.go
@@ -1,11 +1,45 @@
 package hemlocknode
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockretry"
+	"hemlockhollow/hemlocktarget"
 )
 
+// Guards against a retry allowance that is lost when a nested call is refused before it is sent.
+func TestRefusalBeforeSendingReturnsTheAllowance(t *testing.T) {
+	c := newCluster(t)
+	c.publish(ordersFile)
+	n := c.node("a", nil)
+	eventually(t, "the configuration", func() bool { return n.version() == 1 })
+	now, ledger := time.Now(), hemlockretry.NewLedger(4)
+	parent := hemlockcall.Context{Trace: newTrace(), Span: newSpan(), Remaining: time.Minute}
+	running := n.calls.running.Begin(now, parent, parent.Span, ledger, func() {})
+	defer n.calls.running.End(running)
+	for name, body := range map[string]io.Reader{
+		"body too large for an order": strings.NewReader(strings.Repeat("x", readAheadSize+1)),
+		"body broke off":              brokenBody("x"),
+		"key of the wrong kind":       nil,
+	} {
+		_, err := n.calls.Outgoing(t.Context(), hemlocktarget.Outgoing{
+			Trace: parent.Trace, Span: parent.Span, Service: "orders", Method: "POST", Path: "/x",
+			Header: http.Header{"Idempotency-Key": {"x"}}, Body: body, Length: -1,
+		})
+		if refusal := hemlockcall.AsRefusal(err); err == nil || refusal.Verdict != hemlockcall.NotRun {
+			t.Errorf("%s: the call ended with %v, want a refusal as not run", name, err)
+		}
+		if ledger.Remaining() != 4 {
+			t.Errorf("%s: %d of 4 retries are left", name, ledger.Remaining())
+		}
+	}
+}
+
 // Guards against an order that runs again, or whose repeat is refused as not run, because its answer was too large to
 // be stored.
 func TestRepeatOfOrderWithLargeAnswer(t *testing.T) {
