Tell a restarted target from the drained one and apply connections

Cause: a target that drained and restarted at the same address within 3 s stayed leaving for as long as it announced itself; connections of the service file had no effect.

Ruled out: taking any announcement after a drain notice as a new process, because a draining target may go on announcing itself.

Conclusion: TestRestartedInstanceIsReady fails when the instance is ignored.

--- a/hemlocknode/health.go
+++ b/hemlocknode/health.go
@@ -46,6 +46,10 @@
 	// drained is the address that sent the drain notice; its later announcements do not count, not even when its
 	// successor on another port is ready.
 	drained string
+	// drainedInstance is the instance that was drained; another instance at the address is a new process.
+	drainedInstance string
+	// instance is that of the latest accepted announcement.
+	instance string
 	// drainedHeard is the time of the last announcement of the drained address.
 	drainedHeard time.Time
 	probing      bool
@@ -78,7 +82,7 @@
 	h.changes.Lock()
 	defer h.changes.Unlock()
 	h.mutex.Lock()
-	if h.drained == a.Address && time.Since(h.drainedHeard) < announcementExpiry {
+	if h.isDrained(a) && time.Since(h.drainedHeard) < announcementExpiry {
 		// A draining target goes on announcing until it stops. After a pause it is another process.
 		h.drainedHeard = time.Now()
 		if h.state == hemlockmember.Leaving {
@@ -92,9 +96,12 @@
 	}
 	slots := h.declaredSlots(a)
 	changed := h.state != hemlockmember.Ready || h.service != a.Service || h.slots != slots || h.address != a.Address
-	h.service, h.address, h.slots, h.announced = a.Service, a.Address, slots, time.Now()
+	h.service, h.address, h.instance, h.slots, h.announced = a.Service, a.Address, a.Instance, slots, time.Now()
 	h.state = hemlockmember.Ready
 	h.mutex.Unlock()
+	if service, known := h.configuration.Current().Services[a.Service]; known {
+		h.client.SetConnections(service.Connections)
+	}
 	if !changed {
 		return nil
 	}
@@ -105,6 +112,11 @@
 	return nil
 }
 
+// isDrained reports whether an announcement comes from the process that has sent the drain notice. The mutex is held.
+func (h *TargetHealth) isDrained(a hemlocktarget.Announcement) bool {
+	return h.drained == a.Address && (a.Instance == "" || a.Instance == h.drainedInstance)
+}
+
 // declaredSlots returns the slots of the service file, or fewer when the target announces fewer.
 func (h *TargetHealth) declaredSlots(a hemlocktarget.Announcement) int {
 	service, known := h.configuration.Current().Services[a.Service]
@@ -124,6 +136,7 @@
 		return
 	}
 	h.state, h.drained, h.drainedHeard = hemlockmember.Leaving, h.address, time.Now()
+	h.drainedInstance = h.instance
 	service, slots := h.service, h.slots
 	h.mutex.Unlock()
 	h.log.Info("target leaving", "service", service)
--- a/hemlocknode/health_test.go
+++ b/hemlocknode/health_test.go
@@ -35,6 +35,25 @@
 	}
 }
 
+// Guards against a target that restarts at its old address at once and stays leaving for as long as it announces itself.
+func TestRestartedInstanceIsReady(t *testing.T) {
+	c := newCluster(t)
+	n := c.node("a", nil)
+	announce := func(instance string) {
+		_ = n.health.Announce(hemlocktarget.Announcement{Service: "pages", Slots: 8, Address: "127.210.0.200:1", Instance: instance})
+	}
+	announce("first")
+	n.health.Drain()
+	announce("first")
+	if !n.health.draining() {
+		t.Fatal("an announcement of the drained instance undid the drain notice")
+	}
+	announce("second")
+	if !n.health.serves("pages") {
+		t.Fatal("a new instance at the address of the drained one is not ready")
+	}
+}
+
 // Guards against a target that announces itself at the moment at which it is lost, and then counts as ready without
 // slots until it restarts.
 func TestAnnouncementDuringLossIsNotLost(t *testing.T) {
--- a/hemlocktarget/listener.go
+++ b/hemlocktarget/listener.go
@@ -33,12 +33,15 @@
 	Service string
 	Slots   int
 	Address string
+	// Instance tells a restarted target from the process before it at the same address; it may be empty.
+	Instance string
 }
 
 type announcementBody struct {
-	Service string `json:"service"`
-	Slots   int    `json:"slots"`
-	Address string `json:"address"`
+	Service  string `json:"service"`
+	Slots    int    `json:"slots"`
+	Address  string `json:"address"`
+	Instance string `json:"instance"`
 }
 
 // Handlers is what a Listener calls; all fields are required.
--- a/hemlocktarget/listener_test.go
+++ b/hemlocktarget/listener_test.go
@@ -43,7 +43,7 @@
 		return status
 	}
 	equal(t, "status", postStatus("/announce", `{"service":"orders","slots":140,"address":"127.0.0.1:9"}`), 204)
-	equal(t, "announcement", receive(t, "announcement", announced), Announcement{"orders", 140, "127.0.0.1:9"})
+	equal(t, "announcement", receive(t, "announcement", announced), Announcement{Service: "orders", Slots: 140, Address: "127.0.0.1:9"})
 	for _, wrong := range []string{"", `{"service":"orders"}`, `{"service":"o","slots":0,"address":"a:1"}`, `{"slots":1,"x":2}`} {
 		equal(t, "status of "+wrong, postStatus("/announce", wrong), 400)
 	}
--- a/standin/target/announce.go
+++ b/standin/target/announce.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"net/http"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // announcer tells the node about the target every second, and that it leaves.
@@ -20,11 +22,13 @@
 	Service string `json:"service"`
 	Slots   int    `json:"slots"`
 	Address string `json:"address"`
+	// Instance tells this process from one before it at the same address.
+	Instance string `json:"instance"`
 }
 
 // run announces until the context ends and then says that the target leaves.
 func (a *announcer) run(ctx context.Context) {
-	body, err := json.Marshal(announcement{Service: a.service, Slots: a.slots, Address: a.address})
+	body, err := json.Marshal(announcement{Service: a.service, Slots: a.slots, Address: a.address, Instance: uuid.NewString()})
 	if err != nil {
 		return
 	}
