--- a/standin/measure/rest.go
+++ b/standin/measure/rest.go
@@ -26,11 +26,11 @@
 	return nil
 }
 
-func restOf(binaries string, group, size int) error {
+// idleCluster starts nodes in five availability zones of two regions with a configuration in force.
+func idleCluster(binaries string, group, size int) (*harness.Cluster, error) {
 	c := harness.New(binaries, group)
-	defer c.Stop()
 	if err := c.StartPlatform(); err != nil {
-		return err
+		return c, err
 	}
 	for i := range size {
 		zone := i % 5
@@ -40,17 +40,23 @@
 			NodeArguments: []string{"--region", fmt.Sprintf("region-%d", zone/3)},
 		}
 		if err := c.Add(h); err != nil {
-			return err
+			return c, err
 		}
 	}
 	files, err := filepath.Glob("examples/kilwa/*.hcl")
 	if err != nil {
-		return err
+		return c, err
 	}
 	if _, err := c.Publish(files...); err != nil {
-		return err
+		return c, err
 	}
-	if err := c.AwaitReady(time.Minute, 1, c.Hosts...); err != nil {
+	return c, c.AwaitReady(time.Minute, 1, c.Hosts...)
+}
+
+func restOf(binaries string, group, size int) error {
+	c, err := idleCluster(binaries, group, size)
+	defer c.Stop()
+	if err != nil {
 		return err
 	}
 	time.Sleep(restWarmUp)
