--- a/hemlockmember/gossip_test.go
+++ b/hemlockmember/gossip_test.go
@@ -126,6 +126,28 @@
 }
 
 // Guards against nodes that start together and stay with their only contact, whose budget goes into answers.
+// Guards against a member that stops or restarts some time after it announced its leaving, without contacts, and that
+// the others neither forget nor find again.
+func TestLeavingMemberIsFoundAfterItsRestart(t *testing.T) {
+	for name, down := range map[string]time.Duration{"at once": 0, "after its death": 30 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			w := cluster(t, 6, 8)
+			leaver := w.nodes[11]
+			address := leaver.Self().Address
+			w.post(leaver.Announce(w.now, Leaving, 100))
+			w.run(20*time.Second, nil)
+			leaver.stopped = true
+			w.run(down, nil)
+			if down > 0 && !w.agree(address, Dead, nil) {
+				t.Error("a stopped member is not known as dead")
+			}
+			w.nodes[11] = w.start(address, leaver.zone)
+			w.nodes = w.nodes[:len(w.nodes)-1]
+			w.within(t, 30*time.Second, "return", w.converged)
+		})
+	}
+}
+
 func TestManyNodesStartTogether(t *testing.T) {
 	w := newNetwork(13)
 	w.add("a1", 1)
