Take out an unused read-ahead of uploads, raise the connections to a peer

Cause: hemlocktarget.ReadAhead had no caller; the node reads bodies itself, with a bound on their memory. The pool of 64 connections to a peer refused calls of one entry node while a target of 110 or 190 slots had free ones (measure inflight held 64 of 100 requests).

Ruled out: leaving the bound to declared slots, because a peer's slots change with the configuration.

--- a/hemlocknode/providers.go
+++ b/hemlocknode/providers.go
@@ -21,6 +21,10 @@
 	"hemlockhollow/hemlocktarget"
 )
 
+// connectionsPerPeer bounds the calls from this node to one other. It is above the slots of the largest target of
+// today (190): with fewer connections, one entry node would be refused while the target has free slots.
+const connectionsPerPeer = 256
+
 func provideSuspects(s Settings) *hemlocksuspect.Table {
 	return hemlocksuspect.New(s.PeersAddress)
 }
@@ -48,7 +52,7 @@
 }
 
 func providePeerClient(m *Metrics, open dials) *hemlockpeer.Client {
-	options := []hemlockpeer.Option{hemlockpeer.WithScope(m.scope)}
+	options := []hemlockpeer.Option{hemlockpeer.WithScope(m.scope), hemlockpeer.WithConnections(connectionsPerPeer)}
 	if open.peers != nil {
 		options = append(options, hemlockpeer.WithDial(open.peers))
 	}
--- a/hemlocktarget/answer_test.go
+++ b/hemlocktarget/answer_test.go
@@ -88,22 +88,3 @@
 		synctest.Wait()
 	})
 }
-
-// Guards against a body that is lost or changed by reading ahead, and against taking a part for whole.
-func TestReadAhead(t *testing.T) {
-	for _, size := range []int{0, 1, ReadAheadSize, ReadAheadSize + 1, 2 * ReadAheadSize} {
-		body := bytes.Repeat([]byte("x"), size)
-		for _, length := range []int64{int64(size), -1} {
-			request, err := ReadAhead(newRequest(http.MethodPut, "", bytes.NewReader(body), length))
-			noError(t, err)
-			got, err := io.ReadAll(request.Body)
-			noError(t, err)
-			equal(t, "body", string(got), string(body))
-			if size <= ReadAheadSize {
-				equal(t, "length", request.Length, int64(size))
-			}
-		}
-	}
-	_, err := ReadAhead(newRequest(http.MethodPut, "", strings.NewReader("part"), 9))
-	refusedAs(t, err, hemlockcall.NotRun, hemlockcall.ReasonIncomplete)
-}
--- a/hemlocktarget/upload.go
+++ b/hemlocktarget/upload.go
@@ -8,42 +8,15 @@
 
 	"github.com/pkg/errors"
 
-	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockerror"
 )
 
-// ReadAheadSize is how much of a body is read before a slot is taken.
-const ReadAheadSize = 256 << 10
-
 // uploadPartSize is the size of one read of the source.
 const uploadPartSize = 32 << 10
 
 // errUpload is the cause of a run that was aborted because its body did not arrive.
 var errUpload = errors.New("the upload stalled or broke off")
 
-// ReadAhead reads up to ReadAheadSize bytes of the body and returns a request with the same content, so that a slow
-// upload does not hold a slot. A body that ends within the bound gets a known length and is held in memory. The error
-// is always a *hemlockcall.Refusal.
-func ReadAhead(request *hemlockcall.Request) (*hemlockcall.Request, error) {
-	if request.Body == nil {
-		return request, nil
-	}
-	start, err := io.ReadAll(io.LimitReader(request.Body, ReadAheadSize+1))
-	if err != nil {
-		return nil, hemlockcall.Refuse(hemlockcall.ReasonIncomplete, err.Error())
-	}
-	changed := *request
-	if len(start) > ReadAheadSize {
-		changed.Body = io.MultiReader(bytes.NewReader(start), request.Body)
-		return &changed, nil
-	}
-	if request.Length >= 0 && request.Length != int64(len(start)) {
-		return nil, hemlockcall.Refuse(hemlockcall.ReasonIncomplete, "the body has another length than declared")
-	}
-	changed.Body, changed.Length = bytes.NewReader(start), int64(len(start))
-	return &changed, nil
-}
-
 // upload is the body of a running request. A read that waits longer than the stall time aborts the run. It reads the
 // source in another goroutine, because http.Transport returns from a cancelled request only after the body's Read has
 // returned, and a source that stalls does not return.
--- a/standin/harness/process.go
+++ b/standin/harness/process.go
@@ -77,16 +77,6 @@
 	}
 }
 
-// Ended reports whether the process has ended, and its exit code.
-func (p *Process) Ended() (code int, ended bool) {
-	select {
-	case <-p.done:
-		return p.command.ProcessState.ExitCode(), true
-	default:
-		return 0, false
-	}
-}
-
 // Wait waits for the end of the process, at most the limit, and returns its exit code.
 func (p *Process) Wait(limit time.Duration) (int, error) {
 	select {
