--- a/hemlocktarget/answer_test.go
+++ b/hemlocktarget/answer_test.go
@@ -1,7 +1,6 @@
 package hemlocktarget
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
