--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	house, scenario, variant := "", "", ""
-	seed, workers := uint64(1), min(8, runtime.NumCPU())
+	seed, workers := uint64(1), runtime.NumCPU()
 	asJSON := false
 	flaggy.SetName("bench")
 	flaggy.SetDescription("virtual-time bench over the decision packages")
