Use one heap type in the admission queue and look a suspect up once

Ruled out: one fixture package for hemlockpeer and hemlocktarget tests, because it would put test code outside test files; merging the two houses' examples, because each is a file that an operator reads alone.

--- a/hemlockadmission/queue.go
+++ b/hemlockadmission/queue.go
@@ -11,12 +11,12 @@
 // queue holds waiting tickets in two heaps, so that the first and the last in the service order are found without a
 // search. Each ticket knows its position in both.
 type queue[T any] struct {
-	best  bestFirst[T]
-	worst worstFirst[T]
+	best  ticketHeap[T]
+	worst ticketHeap[T]
 }
 
 func newQueue[T any](o order) *queue[T] {
-	return &queue[T]{best: bestFirst[T]{order: o}, worst: worstFirst[T]{order: o}}
+	return &queue[T]{best: ticketHeap[T]{order: o}, worst: ticketHeap[T]{order: o, worst: true}}
 }
 
 func (q *queue[T]) size() int {
@@ -56,55 +56,50 @@
 	}
 }
 
-type bestFirst[T any] struct {
-	order   order
+// ticketHeap implements heap.Interface. The two heaps of a queue differ in their direction and in the position that
+// they keep in the tickets.
+type ticketHeap[T any] struct {
+	order order
+	// worst is set for the heap whose first ticket is served last.
+	worst   bool
 	tickets []*Ticket[T]
 }
 
-func (h *bestFirst[T]) Len() int { return len(h.tickets) }
+// Len implements heap.Interface.
+func (h *ticketHeap[T]) Len() int { return len(h.tickets) }
 
-func (h *bestFirst[T]) Less(i, j int) bool { return h.tickets[i].ranksBefore(h.tickets[j], h.order) }
-
-func (h *bestFirst[T]) Swap(i, j int) {
-	h.tickets[i], h.tickets[j] = h.tickets[j], h.tickets[i]
-	h.tickets[i].best, h.tickets[j].best = i, j
-}
-
-func (h *bestFirst[T]) Push(x any) {
-	t := x.(*Ticket[T])
-	t.best = len(h.tickets)
-	h.tickets = append(h.tickets, t)
-}
-
-func (h *bestFirst[T]) Pop() any {
-	n := len(h.tickets) - 1
-	t := h.tickets[n]
-	h.tickets[n] = nil
-	h.tickets = h.tickets[:n]
-	return t
+// Less implements heap.Interface.
+func (h *ticketHeap[T]) Less(i, j int) bool {
+	if h.worst {
+		i, j = j, i
+	}
+	return h.tickets[i].ranksBefore(h.tickets[j], h.order)
 }
 
-type worstFirst[T any] struct {
-	order   order
-	tickets []*Ticket[T]
+// Swap implements heap.Interface.
+func (h *ticketHeap[T]) Swap(i, j int) {
+	h.tickets[i], h.tickets[j] = h.tickets[j], h.tickets[i]
+	h.place(i)
+	h.place(j)
 }
 
-func (h *worstFirst[T]) Len() int { return len(h.tickets) }
-
-func (h *worstFirst[T]) Less(i, j int) bool { return h.tickets[j].ranksBefore(h.tickets[i], h.order) }
-
-func (h *worstFirst[T]) Swap(i, j int) {
-	h.tickets[i], h.tickets[j] = h.tickets[j], h.tickets[i]
-	h.tickets[i].worst, h.tickets[j].worst = i, j
+// place records the position of a ticket in the ticket.
+func (h *ticketHeap[T]) place(i int) {
+	if h.worst {
+		h.tickets[i].worst = i
+		return
+	}
+	h.tickets[i].best = i
 }
 
-func (h *worstFirst[T]) Push(x any) {
-	t := x.(*Ticket[T])
-	t.worst = len(h.tickets)
-	h.tickets = append(h.tickets, t)
+// Push implements heap.Interface.
+func (h *ticketHeap[T]) Push(x any) {
+	h.tickets = append(h.tickets, x.(*Ticket[T]))
+	h.place(len(h.tickets) - 1)
 }
 
-func (h *worstFirst[T]) Pop() any {
+// Pop implements heap.Interface.
+func (h *ticketHeap[T]) Pop() any {
 	n := len(h.tickets) - 1
 	t := h.tickets[n]
 	h.tickets[n] = nil
--- a/hemlocknode/duty.go
+++ b/hemlocknode/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +55,7 @@
 
 // holds reports whether this node takes a duty in its zone.
 func (d *Duties) holds(duty string, count int) bool {
-	return contains(d.holders(duty, d.zone, count), d.self)
+	return slices.Contains(d.holders(duty, d.zone, count), d.self)
 }
 
 // collector returns the node that writes the claim of a key, or an empty string for this node.
--- a/hemlocknode/names.go
+++ b/hemlocknode/names.go
@@ -1,10 +1,5 @@
 package hemlocknode
 
-import (
-	"slices"
-	"strconv"
-)
-
 const longestName = 63
 
 func isName(name string) bool {
@@ -18,11 +13,3 @@
 	}
 	return true
 }
-
-func contains(values []string, value string) bool {
-	return slices.Contains(values, value)
-}
-
-func formatBytes(count int64) string {
-	return strconv.FormatInt(count, 10)
-}
--- a/hemlocknode/serve.go
+++ b/hemlocknode/serve.go
@@ -68,10 +68,11 @@
 
 func (s *Server) serve(ctx context.Context, start time.Time, request *hemlockcall.Request) (*hemlockcall.Response, error) {
 	unused := hemlockcall.Feedback{Retries: request.Context.Retries}
-	if err := s.check(start, request); err != nil {
+	verdict := s.suspects.Check(start, request.Fingerprint)
+	if err := s.check(request, verdict); err != nil {
 		return nil, err.WithFeedback(unused)
 	}
-	admitted, err := s.admit(ctx, start, request)
+	admitted, err := s.admit(ctx, start, request, verdict == hemlocksuspect.RunAlone)
 	if err != nil {
 		return nil, err.WithFeedback(unused)
 	}
@@ -93,7 +94,7 @@
 	return hemlockcall.Refuse(hemlockcall.ReasonLeaving, "the target is leaving")
 }
 
-func (s *Server) check(now time.Time, request *hemlockcall.Request) *hemlockcall.Refusal {
+func (s *Server) check(request *hemlockcall.Request, verdict hemlocksuspect.Verdict) *hemlockcall.Refusal {
 	switch {
 	case s.leaving.Load() || s.health.draining():
 		return refuseLeaving()
@@ -101,7 +102,7 @@
 		return hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "the target does not serve "+request.Service)
 	case request.Context.Depth > hemlockcall.MaxDepth:
 		return hemlockcall.Refuse(hemlockcall.ReasonInvalid, "the call chain is too deep")
-	case s.suspects.Check(now, request.Fingerprint) == hemlocksuspect.Refuse:
+	case verdict == hemlocksuspect.Refuse:
 		return s.refuseSuspect()
 	}
 	return nil
@@ -113,14 +114,16 @@
 }
 
 // admit waits for a slot.
-func (s *Server) admit(ctx context.Context, now time.Time, request *hemlockcall.Request) (*ticket, *hemlockcall.Refusal) {
+func (s *Server) admit(
+	ctx context.Context, now time.Time, request *hemlockcall.Request, suspect bool,
+) (*ticket, *hemlockcall.Refusal) {
 	demand := hemlockadmission.Demand{
 		Priority:  request.Context.Priority,
 		Class:     s.classOf(request),
 		Rank:      request.Context.Rank,
 		Depth:     request.Context.Depth,
 		Remaining: remainingOf(ctx, request.Context.Remaining),
-		Suspect:   s.suspects.Check(now, request.Fingerprint) == hemlocksuspect.RunAlone,
+		Suspect:   suspect,
 	}
 	offered := s.admission.Offer(now, demand, &waiter{decided: make(chan struct{})})
 	if offered.Queued {
--- a/hemlocknode/settings.go
+++ b/hemlocknode/settings.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"net/url"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -103,7 +105,7 @@
 			return settingError("platform", s.Platform, "http://IP:PORT")
 		}
 	}
-	if !contains(LogLevels, s.LogLevel) {
+	if !slices.Contains(LogLevels, s.LogLevel) {
 		return settingError("log-level", s.LogLevel, strings.Join(LogLevels, ", "))
 	}
 	if s.DrainGrace < 0 || s.DrainGrace > time.Minute {
@@ -113,7 +115,7 @@
 		return settingError("stop-timeout", s.StopTimeout.String(), "more than --drain-grace ("+s.DrainGrace.String()+")")
 	}
 	if s.BufferMemory < 1<<20 || s.BufferMemory > 4<<30 {
-		return settingError("buffer-memory", formatBytes(s.BufferMemory), "1 MiB to 4 GiB, in bytes")
+		return settingError("buffer-memory", strconv.FormatInt(s.BufferMemory, 10), "1 MiB to 4 GiB, in bytes")
 	}
 	return nil
 }
--- a/hemlocknode/sweep.go
+++ b/hemlocknode/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -30,7 +31,7 @@
 		return
 	}
 	for pause(ctx, sweepInterval) {
-		if holders := s.duties.holders("sweep", "", 1); contains(holders, s.duties.self) {
+		if holders := s.duties.holders("sweep", "", 1); slices.Contains(holders, s.duties.self) {
 			s.sweep(ctx)
 		}
 	}
