Let fresh trees in by the load of the deepest service, place by load and zone

Cause: under load the deepest service refused single calls at random, each of which failed a whole tree; a naturally slow target counted as an outlier, so that its calls went to other zones.

Change: hemlockpressure keeps the load of each service as the gates report it and lets in a share of the fresh trees by priority; hemlockplacement chooses by expected time and load, the own zone while it has room.

Ruled out: the routing table's outliers by latency, since targets of one service differ in speed by a factor of 3.

--- /dev/null
+++ b/hemlockpressure/pressure.go
@@ -0,0 +1,81 @@
+// Package hemlockpressure decides how much fresh work an entry lets in, by the load of the services that the work leads
+// to. It does no I/O; time is an argument.
+//
+// One refused call of a deep service fails the whole tree of calls above it, and all work of that tree is lost. So trees
+// are turned away before they begin, least important first, and the deep services stay just below their limits.
+package hemlockpressure
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// smoothing is the time constant of the load at a service: a few service times of a deep call.
+	smoothing = 150 * time.Millisecond
+	// newsAge is how long a report counts; a service that nobody reports about has no load to speak of.
+	newsAge = time.Second
+)
+
+// Average is a moving mean over time. The zero value is ready.
+type Average struct {
+	value float64
+	at    time.Time
+}
+
+// Add takes in a sample.
+func (a *Average) Add(now time.Time, sample float64) {
+	if a.at.IsZero() {
+		a.value, a.at = sample, now
+		return
+	}
+	passed := now.Sub(a.at).Seconds()
+	if passed <= 0 {
+		return
+	}
+	weight := passed / (passed + smoothing.Seconds())
+	a.value += (sample - a.value) * weight
+	a.at = now
+}
+
+// Value returns the mean, or 0 when the last sample is too old.
+func (a *Average) Value(now time.Time) float64 {
+	if now.Sub(a.at) > newsAge {
+		return 0
+	}
+	return a.value
+}
+
+// Monitor keeps the load of the services that this node hears of. It is safe for concurrent use.
+type Monitor struct {
+	mutex    sync.Mutex
+	services map[string]*Average
+}
+
+// NewMonitor returns a monitor that has heard of no service.
+func NewMonitor() *Monitor {
+	return &Monitor{services: map[string]*Average{}}
+}
+
+// Report takes in the load that a node reported with the end of a call to a service.
+func (m *Monitor) Report(now time.Time, service string, load float64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	a := m.services[service]
+	if a == nil {
+		a = &Average{}
+		m.services[service] = a
+	}
+	a.Add(now, load)
+}
+
+// Highest returns the load of the most loaded service, which a tree of calls is taken to reach.
+func (m *Monitor) Highest(now time.Time) float64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	highest := 0.0
+	for _, a := range m.services {
+		highest = max(highest, a.Value(now))
+	}
+	return highest
+}
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"hemlockhollow/hemlockcall"
-	"hemlockhollow/hemlockerror"
+	"hemlockhollow/hemlockplacement"
+	"hemlockhollow/hemlockpressure"
 	"hemlockhollow/hemlockretry"
-	"hemlockhollow/hemlockrouting"
 )
 
 const (
@@ -28,21 +28,28 @@
 	self     string
 	gate     *Gate
 	links    Links
-	table    *hemlockrouting.Table
+	table    *hemlockplacement.Table
 	budget   *hemlockretry.SharedBudget
 	observer Observer
+	monitor  *hemlockpressure.Monitor
+	valve    *hemlockpressure.Valve
 }
 
 // NewEntry returns the entry of the node with the given peer address.
-func NewEntry(self string, gate *Gate, links Links, table *hemlockrouting.Table, budget *hemlockretry.SharedBudget,
+func NewEntry(self string, gate *Gate, links Links, table *hemlockplacement.Table, budget *hemlockretry.SharedBudget,
 	observer Observer) *Entry {
-	return &Entry{self: self, gate: gate, links: links, table: table, budget: budget, observer: observer}
+	return &Entry{self: self, gate: gate, links: links, table: table, budget: budget, observer: observer,
+		monitor: hemlockpressure.NewMonitor(), valve: hemlockpressure.NewValve()}
 }
 
 // Relay carries a call out within its remaining time, at no more than maxAttempts targets.
 func (e *Entry) Relay(ctx context.Context, call *hemlockcall.Relay, maxAttempts int) (*hemlockcall.RelayAnswer, error) {
 	arrival := time.Now()
 	deadline := arrival.Add(call.Remaining)
+	if refusal := e.admit(arrival, call); refusal != nil {
+		e.observer.Refused(SideEntry, call, refusal, 0)
+		return nil, refusal
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	a := &attempts{entry: e, call: call, deadline: deadline, most: max(maxAttempts, 1)}
@@ -56,6 +63,23 @@
 	return answer, nil
 }
 
+const (
+	// returnSoon is the advice to a turned away client while most are let in, returnLate the addition while none is.
+	returnSoon = 400 * time.Millisecond
+	returnLate = 1200 * time.Millisecond
+)
+
+// admit turns fresh trees away while a service that they lead to has no room. Important calls are left to the gates: they
+// are leaves of a tree, which is paid for, or go to a deep service directly.
+func (e *Entry) admit(now time.Time, call *hemlockcall.Relay) *hemlockcall.Refusal {
+	if call.Priority == hemlockcall.Important || e.valve.Admit(now, call.Priority, e.monitor.Highest(now)) {
+		return nil
+	}
+	wait := returnSoon + time.Duration(float64(returnLate)*(1-e.valve.Share(call.Priority)))
+	return hemlockcall.Refuse(hemlockcall.ReasonOverload, "a service below has no room for new trees of calls").
+		WithRetryAfter(min(wait, call.Remaining/3))
+}
+
 // attempts is one call on its way to an answer.
 type attempts struct {
 	entry    *Entry
@@ -74,9 +98,9 @@
 func (a *attempts) run(ctx context.Context) (*hemlockcall.RelayAnswer, error) {
 	a.entry.budget.Earn(time.Now(), a.call.Service)
 	for {
-		target, err := a.entry.table.Pick(time.Now(), a.call.Service, a.call.Priority, a.tried)
+		target, err := a.entry.table.Pick(time.Now(), a.call.Service, a.tried)
 		if err != nil {
-			return nil, a.ended(refusePick(err))
+			return nil, a.ended(hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "no target is ready"))
 		}
 		answer, refusal := a.send(ctx, target.Address)
 		if refusal == nil {
@@ -90,18 +114,9 @@
 	}
 }
 
-// refusePick turns the reason why no target was chosen into a refusal.
-func refusePick(err error) *hemlockcall.Refusal {
-	if hemlockerror.KindOf[hemlockrouting.Kind](err) == hemlockrouting.KindShed {
-		return hemlockcall.Refuse(hemlockcall.ReasonOverload, "all targets refuse this priority")
-	}
-	return hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "no target is ready")
-}
-
 // send makes one attempt and reports its end to the routing table.
 func (a *attempts) send(ctx context.Context, address string) (*hemlockcall.RelayAnswer, *hemlockcall.Refusal) {
-	started := time.Now()
-	call := a.call.WithRemaining(a.deadline.Sub(started))
+	call := a.call.WithRemaining(time.Until(a.deadline))
 	var answer *hemlockcall.RelayAnswer
 	var err error
 	if address == a.entry.self {
@@ -112,30 +127,40 @@
 	now := time.Now()
 	if err != nil {
 		refusal := hemlockcall.AsRefusal(err)
-		a.entry.table.Done(now, address, hemlockrouting.Result{
-			Outcome: outcomeOf(refusal), Latency: now.Sub(started), Feedback: refusal.Feedback})
+		a.entry.done(now, address, call, hemlockplacement.Result{Outcome: outcomeOf(refusal), Feedback: refusal.Feedback})
 		return nil, refusal
 	}
-	a.entry.table.Done(now, address, hemlockrouting.Result{
-		Outcome: hemlockrouting.Completed, Latency: now.Sub(started), Feedback: answer.Feedback})
+	// An error of the target counts as an answer: most are the failures of calls below it.
+	a.entry.done(now, address, call, hemlockplacement.Result{Outcome: hemlockplacement.Completed,
+		Service: answer.Service, Feedback: answer.Feedback})
 	return answer, nil
 }
 
-func outcomeOf(refusal *hemlockcall.Refusal) hemlockrouting.Outcome {
+// done reports the end of an attempt to those that learn from it.
+func (e *Entry) done(now time.Time, address string, call *hemlockcall.Relay, r hemlockplacement.Result) {
+	e.table.Done(now, address, r)
+	if r.Feedback.Limit > 0 {
+		e.monitor.Report(now, call.Service, float64(r.Feedback.InFlight)/float64(r.Feedback.Limit))
+	}
+}
+
+func outcomeOf(refusal *hemlockcall.Refusal) hemlockplacement.Outcome {
 	switch refusal.Reason {
 	case hemlockcall.ReasonOverload:
-		return hemlockrouting.Refused
+		return hemlockplacement.Refused
 	case hemlockcall.ReasonDeadline:
 		if refusal.Verdict == hemlockcall.NotRun {
-			return hemlockrouting.Refused
+			return hemlockplacement.Refused
 		}
-		return hemlockrouting.TimedOut
+		return hemlockplacement.TimedOut
 	case hemlockcall.ReasonCancelled, hemlockcall.ReasonSuspect:
-		return hemlockrouting.Cancelled
+		return hemlockplacement.Cancelled
 	case hemlockcall.ReasonLeaving:
-		return hemlockrouting.Leaving
+		return hemlockplacement.Leaving
+	case hemlockcall.ReasonConnection:
+		return hemlockplacement.Unreachable
 	}
-	return hemlockrouting.Failed
+	return hemlockplacement.Failed
 }
 
 // mayRepeat decides whether another target is tried after a refusal.
