--- a/hemlockplacement/table.go
+++ b/hemlockplacement/table.go
@@ -9,9 +9,9 @@
 
 const (
 	// roomLoad is the load below which the own zone has room: bytes between zones are dear.
-	roomLoad = 0.8
+	roomLoad = 0.9
 	// lighter is how much less loaded a target of another zone must be to be worth the way.
-	lighter = 0.15
+	lighter = 0.3
 )
 
 // Table holds the targets of all services as one node sees them. It is safe for concurrent use.
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -145,6 +145,9 @@
 }
 
 func outcomeOf(refusal *hemlockcall.Refusal) hemlockplacement.Outcome {
+	if refusal.Reached {
+		return hemlockplacement.Failed
+	}
 	switch refusal.Reason {
 	case hemlockcall.ReasonOverload:
 		return hemlockplacement.Refused
