Queue by objective within the slots, hedge lost answers, count missing services briefly

Cause: a limit that adapts and starts low looked like load and closed the valve for orders for seconds after each restart; refusals by a target that sheds at random lowered it further; a lost answer held its tree until the time limit.

Change: 0.95 of the slots are the limit; the queue holds four times as many and is ordered by the end of the objective; short repeatable calls get a second attempt beside a late one, within the shared budget; a missing service counts for 300 ms.

--- a/hemlockadmission/controller.go
+++ b/hemlockadmission/controller.go
@@ -49,7 +49,7 @@
 // New returns a controller for a target with the given slots. Decide is called, outside the lock, once for each
 // ticket that was queued.
 func New[T any](slots int, decide func(*Ticket[T]), options ...Option) *Controller[T] {
-	c := &Controller[T]{decide: decide, settings: settings{hold: defaultHold}, classes: map[string]*class{}}
+	c := &Controller[T]{decide: decide, settings: settings{hold: defaultHold, share: 1}, classes: map[string]*class{}}
 	for _, apply := range options {
 		apply(&c.settings)
 	}
--- a/hemlockadmission/decision.go
+++ b/hemlockadmission/decision.go
@@ -17,7 +17,7 @@
 	if c.settings.queue > 0 {
 		return c.settings.queue
 	}
-	return c.limit.slots
+	return int(float64(c.limit.slots) * c.settings.share)
 }
 
 func (c *Controller[T]) queueOf(t *Ticket[T]) *queue[T] {
--- a/hemlockadmission/option.go
+++ b/hemlockadmission/option.go
@@ -30,6 +30,7 @@
 
 type settings struct {
 	queue int
+	share float64 // bound of the queue as a multiple of the slots, where queue is 0
 	hold  time.Duration
 	cold  bool
 	off   [mechanisms]bool
@@ -44,6 +45,12 @@
 	return func(s *settings) { s.queue = tickets }
 }
 
+// WithQueueShare sets the bound of the queue as a multiple of the slots. Calls whose refusal wastes the work of others
+// are worth a longer wait.
+func WithQueueShare(share float64) Option {
+	return func(s *settings) { s.share = share }
+}
+
 // WithHold sets how long lower priorities are refused after a higher one was refused because of load.
 func WithHold(hold time.Duration) Option {
 	return func(s *settings) { s.hold = hold }
--- a/hemlockadmission/ticket.go
+++ b/hemlockadmission/ticket.go
@@ -18,6 +18,9 @@
 	Depth uint8
 	// Remaining is the time left for the request; zero or less means that it is too late.
 	Remaining time.Duration
+	// Objective is the latency within which an answer is worth most; 0 means unknown. Of equal requests, the one whose
+	// objective ends first is served first.
+	Objective time.Duration
 	// Suspect marks a request that was in flight when a target died; at most one runs at a time.
 	Suspect bool
 	// Class tells requests apart whose service times and nested calls differ. Without it, requests are dropped only when
@@ -101,5 +104,13 @@
 	if order.priority && t.Demand.Rank != o.Demand.Rank {
 		return t.Demand.Rank < o.Demand.Rank
 	}
+	if due, other := t.due(), o.due(); order.priority && due != other {
+		return due.Before(other)
+	}
 	return t.sequence < o.sequence
 }
+
+// due is when the objective of the request ends. A request without an objective is due at its arrival.
+func (t *Ticket[T]) due() time.Time {
+	return t.arrival.Add(t.Demand.Objective)
+}
--- a/hemlockplacement/table.go
+++ b/hemlockplacement/table.go
@@ -12,6 +12,11 @@
 	roomLoad = 0.9
 	// lighter is how much less loaded a target of another zone must be to be worth the way.
 	lighter = 0.3
+	// farFaster is how many times faster a target of another zone must be expected to be; targets of one service differ
+	// by a factor of 3 without a fault.
+	farFaster = 4
+	// failingShare is the share of failed calls above which a target of the own zone is compared with those of others.
+	failingShare = 0.1
 )
 
 // Table holds the targets of all services as one node sees them. It is safe for concurrent use.
@@ -96,11 +101,20 @@
 	}
 }
 
+// Drop takes back a pick that was not used.
+func (t *Table) Drop(address string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if e := t.entries[address]; e != nil {
+		e.inFlight = max(0, e.inFlight-1)
+	}
+}
+
 // The methods below are called with the lock held.
 
 func (t *Table) choose(now time.Time, g *group, tried []string) *entry {
 	own := t.best(now, g.own, tried, true)
-	if own != nil && own.load(now) < roomLoad && own.failing(now) < 0.5 {
+	if own != nil && own.load(now) < roomLoad && own.failing(now) < failingShare && !own.isSlow(g) {
 		return own
 	}
 	other := t.best(now, g.other, tried, true)
@@ -114,7 +128,9 @@
 		return other
 	case other == nil:
 		return own
-	case other.load(now) < own.load(now)-lighter, other.failing(now) < own.failing(now)-0.3:
+	case own.load(now) > roomLoad && other.load(now) < own.load(now)-lighter:
+		return other
+	case farFaster*other.expected(now) < own.expected(now):
 		return other
 	}
 	return own
@@ -150,3 +166,15 @@
 	}
 	return first
 }
+
+// isSlow reports whether the target takes far longer than another one of the service is known to.
+func (e *entry) isSlow(g *group) bool {
+	for _, list := range [][]*entry{g.own, g.other} {
+		for _, o := range list {
+			if o.service > 0 && e.service > farFaster*o.service {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/hemlockpressure/pressure.go
+++ b/hemlockpressure/pressure.go
@@ -15,6 +15,11 @@
 	smoothing = 150 * time.Millisecond
 	// newsAge is how long a report counts; a service that nobody reports about has no load to speak of.
 	newsAge = time.Second
+	// missingAge is how long a service counts as missing after a call found no target: as long as the steps by which the
+	// shares of trees change need to react.
+	missingAge = 300 * time.Millisecond
+	// missingLoad stands for the load of a missing service: trees that need it fail.
+	missingLoad = 5
 )
 
 // Average is a moving mean over time. The zero value is ready.
@@ -50,6 +55,8 @@
 type Monitor struct {
 	mutex    sync.Mutex
 	services map[string]*Average
+	// missing is until when a service counts as missing.
+	missing time.Time
 }
 
 // NewMonitor returns a monitor that has heard of no service.
@@ -69,10 +76,30 @@
 	a.Add(now, load)
 }
 
+// Missing takes in that a call found no target of its service.
+func (m *Monitor) Missing(now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.missing = now.Add(missingAge)
+}
+
+// Load returns the load of one service.
+func (m *Monitor) Load(now time.Time, service string) float64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if a := m.services[service]; a != nil {
+		return a.Value(now)
+	}
+	return 0
+}
+
 // Highest returns the load of the most loaded service, which a tree of calls is taken to reach.
 func (m *Monitor) Highest(now time.Time) float64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if now.Before(m.missing) {
+		return missingLoad
+	}
 	highest := 0.0
 	for _, a := range m.services {
 		highest = max(highest, a.Value(now))
--- a/hemlockpressure/valve.go
+++ b/hemlockpressure/valve.go
@@ -24,8 +24,8 @@
 // room before the service is full, more important ones are let in until its queue is nearly so.
 var aims = [hemlockcall.Priorities]float64{
 	hemlockcall.Sheddable: 0.97,
-	hemlockcall.Important: 1.5,
-	hemlockcall.Critical:  1.7,
+	hemlockcall.Important: 3,
+	hemlockcall.Critical:  3,
 }
 
 // Valve lets a share of the fresh trees of each priority in. It is safe for concurrent use.
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"hemlockhollow/hemlockcall"
@@ -15,6 +16,8 @@
 	reroutes = 3
 	// leastTime is the shortest time for which another attempt is worth while: a round trip between zones and a short run.
 	leastTime = 15 * time.Millisecond
+	// peerMargin is how much earlier than this node another one gives a call up, so that its refusal arrives in time.
+	peerMargin = 10 * time.Millisecond
 )
 
 // Links carries a call to the node beside a target.
@@ -33,13 +36,15 @@
 	observer Observer
 	monitor  *hemlockpressure.Monitor
 	valve    *hemlockpressure.Valve
+	latency  *latencies
 }
 
 // NewEntry returns the entry of the node with the given peer address.
 func NewEntry(self string, gate *Gate, links Links, table *hemlockplacement.Table, budget *hemlockretry.SharedBudget,
 	observer Observer) *Entry {
 	return &Entry{self: self, gate: gate, links: links, table: table, budget: budget, observer: observer,
-		monitor: hemlockpressure.NewMonitor(), valve: hemlockpressure.NewValve()}
+		monitor: hemlockpressure.NewMonitor(), valve: hemlockpressure.NewValve(),
+		latency: newLatencies()}
 }
 
 // Relay carries a call out within its remaining time, at no more than maxAttempts targets.
@@ -93,6 +98,8 @@
 	reached int
 	// unknown is the first refusal whose outcome is unknown; whatever follows, the call may have run.
 	unknown *hemlockcall.Refusal
+	// overtaken is set once a second attempt beside the first one has brought the answer.
+	overtaken atomic.Bool
 }
 
 func (a *attempts) run(ctx context.Context) (*hemlockcall.RelayAnswer, error) {
@@ -100,13 +107,16 @@
 	for {
 		target, err := a.entry.table.Pick(time.Now(), a.call.Service, a.tried)
 		if err != nil {
+			if len(a.tried) == 0 {
+				a.entry.monitor.Missing(time.Now())
+			}
 			return nil, a.ended(hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "no target is ready"))
 		}
-		answer, refusal := a.send(ctx, target.Address)
+		a.tried = append(a.tried, target.Address)
+		answer, refusal := a.sendHedged(ctx, target.Address)
 		if refusal == nil {
 			return answer, nil
 		}
-		a.tried = append(a.tried, target.Address)
 		if !a.mayRepeat(ctx, refusal) {
 			return nil, a.ended(refusal)
 		}
@@ -116,7 +126,8 @@
 
 // send makes one attempt and reports its end to the routing table.
 func (a *attempts) send(ctx context.Context, address string) (*hemlockcall.RelayAnswer, *hemlockcall.Refusal) {
-	call := a.call.WithRemaining(time.Until(a.deadline))
+	started := time.Now()
+	call := a.call.WithRemaining(a.deadline.Sub(started) - peerMargin)
 	var answer *hemlockcall.RelayAnswer
 	var err error
 	if address == a.entry.self {
@@ -127,9 +138,14 @@
 	now := time.Now()
 	if err != nil {
 		refusal := hemlockcall.AsRefusal(err)
+		if refusal.Reason == hemlockcall.ReasonCancelled && a.overtaken.Load() {
+			a.entry.done(now, address, call, hemlockplacement.Result{Outcome: hemlockplacement.TimedOut})
+			return nil, refusal
+		}
 		a.entry.done(now, address, call, hemlockplacement.Result{Outcome: outcomeOf(refusal), Feedback: refusal.Feedback})
 		return nil, refusal
 	}
+	a.entry.latency.add(call.Class, now.Sub(started))
 	// An error of the target counts as an answer: most are the failures of calls below it.
 	a.entry.done(now, address, call, hemlockplacement.Result{Outcome: hemlockplacement.Completed,
 		Service: answer.Service, Feedback: answer.Feedback})
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -16,6 +16,11 @@
 const (
 	// advanceInterval is how often the queue is searched for calls whose time ran out, while there are any.
 	advanceInterval = 20 * time.Millisecond
+	// slotShare is the part of the slots in use at the most: new connections hold slots too, and some targets slow down
+	// when they are nearly full.
+	slotShare = 0.95
+	// queueShare bounds the queue in multiples of the slots: a few service times, for a refused call fails its tree.
+	queueShare = 4
 	// nestedMemory is how long a failure of the target is put down to a refused call of its own.
 	nestedMemory = 300 * time.Millisecond
 )
@@ -56,11 +61,13 @@
 }
 
 // NewGate returns the gate of a target that is not known yet.
-func NewGate(target hemlockcall.Relayer, suspects *hemlocksuspect.Table, observer Observer,
-	options ...hemlockadmission.Option) *Gate {
+func NewGate(target hemlockcall.Relayer, suspects *hemlocksuspect.Table, observer Observer) *Gate {
 	g := &Gate{target: target, suspects: suspects, observer: observer, start: time.Now()}
 	g.controller = hemlockadmission.New(0, func(t *hemlockadmission.Ticket[*waiter]) { close(t.Value.decided) },
-		options...)
+		hemlockadmission.WithQueueShare(queueShare),
+		// Entries turn less important trees away before they begin; a hold here would fail those that were let in. The slots
+		// are known exactly, and a limit that starts low after each restart of the node would look like load.
+		hemlockadmission.Without(hemlockadmission.LevelHold, hemlockadmission.AdaptiveLimit, hemlockadmission.ColdStart))
 	return g
 }
 
@@ -81,7 +88,7 @@
 	if old.Instance != state.Instance && old.Ready {
 		g.controller.SetSlots(now, 0) // another process: what waits was meant for the former one
 	}
-	slots := state.Slots
+	slots := max(1, int(float64(state.Slots)*slotShare))
 	if !state.Ready {
 		slots = 0
 	}
@@ -142,7 +149,8 @@
 	}
 	ticket := g.controller.Offer(now, hemlockadmission.Demand{
 		Priority: call.Priority, Depth: call.Depth, Remaining: call.Remaining, Class: call.Class,
-		Suspect: verdict == hemlocksuspect.RunAlone,
+		Objective: call.Objective,
+		Suspect:   verdict == hemlocksuspect.RunAlone,
 	}, &waiter{decided: make(chan struct{})})
 	if ticket.Queued {
 		g.startAdvancing()
@@ -196,9 +204,8 @@
 			return hemlockadmission.Cancelled
 		case refusal.Reason == hemlockcall.ReasonDeadline && refusal.Verdict == hemlockcall.Unknown:
 			return hemlockadmission.TimedOut
-		case refusal.Verdict == hemlockcall.NotRun && refusal.Reason == hemlockcall.ReasonOverload:
-			return hemlockadmission.Shed
 		}
+		// A target that refuses within its slots is at fault; a lower limit would only take room from other calls.
 		return hemlockadmission.Failed
 	}
 	const serverError = 500
--- /dev/null
+++ b/hemlockrelay/hedge.go
@@ -0,0 +1,138 @@
+package hemlockrelay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+const (
+	// hedgeDeviations is how many mean deviations above the mean latency an answer counts as lost: under one in 200 calls
+	// without a fault.
+	hedgeDeviations = 6
+	// hedgeLeast keeps pauses of a busy host from looking like a lost answer.
+	hedgeLeast = 50 * time.Millisecond
+	// hedgeLongest is the mean latency above which a class gets no second attempt beside the first: its calls are whole
+	// trees, whose repeats would load all services below.
+	hedgeLongest = 120 * time.Millisecond
+	// hedgeSamples is how many answers are needed for an estimate.
+	hedgeSamples = 20
+	// hedgeLoad is the load of the service above which a late answer is put down to load.
+	hedgeLoad = 1
+	// latencyWeight is the weight of one new latency in the moving mean.
+	latencyWeight = 0.02
+	// latencyClasses bounds the classes that are told apart.
+	latencyClasses = 256
+)
+
+// latencies keeps the mean latency of each class with its mean deviation. It is safe for concurrent use.
+type latencies struct {
+	mutex   sync.Mutex
+	classes map[string]*latency
+}
+
+type latency struct {
+	mean, deviation float64 // seconds
+	samples         int
+}
+
+func newLatencies() *latencies {
+	return &latencies{classes: map[string]*latency{}}
+}
+
+func (l *latencies) add(class string, took time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	c := l.classes[class]
+	if c == nil {
+		if len(l.classes) >= latencyClasses {
+			clear(l.classes) // names of routes that are gone
+		}
+		c = &latency{mean: took.Seconds(), deviation: took.Seconds() / 2}
+		l.classes[class] = c
+	}
+	c.samples++
+	difference := took.Seconds() - c.mean
+	c.mean += difference * latencyWeight
+	if difference < 0 {
+		difference = -difference
+	}
+	c.deviation += (difference - c.deviation) * latencyWeight
+}
+
+// hedgeAfter returns after how long the answer to a call counts as lost; false where it never does.
+func (l *latencies) hedgeAfter(class string) (time.Duration, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	c := l.classes[class]
+	if c == nil || c.samples < hedgeSamples || c.mean > hedgeLongest.Seconds() {
+		return 0, false
+	}
+	return max(hedgeLeast, time.Duration((c.mean+hedgeDeviations*c.deviation)*float64(time.Second))), true
+}
+
+// attempt is the end of one attempt.
+type attempt struct {
+	answer  *hemlockcall.RelayAnswer
+	refusal *hemlockcall.Refusal
+}
+
+// sendHedged makes one attempt, and a second one at another target beside it when the answer is far later than usual:
+// some targets run a request and lose its answer, which nobody says. The first answer counts.
+func (a *attempts) sendHedged(ctx context.Context, address string) (*hemlockcall.RelayAnswer, *hemlockcall.Refusal) {
+	wait, ok := a.entry.latency.hedgeAfter(a.call.Class)
+	if !ok || !a.call.Repeatable || a.reached+1 >= a.most || time.Until(a.deadline) < 2*wait {
+		return a.send(ctx, address)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ends := make(chan attempt, 2) // room for both, so that the slower one does not block
+	start := func(address string) {
+		answer, refusal := a.send(ctx, address)
+		ends <- attempt{answer: answer, refusal: refusal}
+	}
+	go start(address)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case end := <-ends:
+		return end.answer, end.refusal
+	case <-timer.C:
+	}
+	running := 1
+	if second, ok := a.second(); ok {
+		go start(second)
+		running++
+	}
+	var last attempt
+	for ; running > 0; running-- {
+		if last = <-ends; last.refusal == nil {
+			a.overtaken.Store(true)
+			break
+		}
+	}
+	return last.answer, last.refusal
+}
+
+// second returns the target of an attempt beside the first one, if there is one and the shared budget allows it.
+func (a *attempts) second() (string, bool) {
+	now := time.Now()
+	if a.entry.monitor.Load(now, a.call.Service) > hedgeLoad {
+		return "", false
+	}
+	target, err := a.entry.table.Pick(now, a.call.Service, a.tried)
+	if err != nil {
+		return "", false
+	}
+	if !a.entry.budget.Spend(now, a.call.Service) {
+		a.entry.table.Drop(target.Address)
+		return "", false
+	}
+	a.tried = append(a.tried, target.Address)
+	a.reached++
+	a.entry.observer.Repeated(a.call, target.Address, hemlockcall.Doubt(hemlockcall.ReasonTarget, "the answer is late"),
+		len(a.tried))
+	return target.Address, true
+}
--- a/hemlockretry/shared.go
+++ b/hemlockretry/shared.go
@@ -7,8 +7,8 @@
 
 const (
 	// shareOfRatio is the part of the allowed ratio that one level of a call graph uses. A repeated run repeats all calls
-	// below it, so that the deepest service sees the repeats of every level: four levels use the whole.
-	shareOfRatio = 0.25
+	// below it, so that the deepest service sees the repeats of every level; faults at two levels at once stay within.
+	shareOfRatio = 0.45
 	// shareOfSlack is the part of the slack that all nodes use in a window, for the same reason; a repeat of the first
 	// level can become several at the deepest one.
 	shareOfSlack = 0.2
