--- a/hemlocklog/log.go
+++ b/hemlocklog/log.go
@@ -2,6 +2,7 @@
 package hemlocklog
 
 import (
+	"context"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -63,17 +64,17 @@
 // Close writes what waits, but no longer than for the given time: a reader that has stopped reading must not hold up the
 // end of the process.
 func (s *Sink) Close(most time.Duration) {
-	end := time.NewTimer(most)
-	defer end.Stop()
+	end, stop := context.WithTimeout(context.Background(), most)
+	defer stop()
 	s.once.Do(func() {
 		select {
 		case s.lines <- nil:
-		case <-end.C:
+		case <-end.Done():
 		}
 	})
 	select {
 	case <-s.done:
-	case <-end.C:
+	case <-end.Done():
 	}
 }
 
--- /dev/null
+++ b/hemlockpeer/link_test.go
@@ -0,0 +1,195 @@
+package hemlockpeer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+// relayServer serves Carry streams on a socket of its own.
+func relayServer(t *testing.T, relay hemlockcall.RelayerFunc) string {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := NewServer(nil, WithRelay(relay))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx, socket)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		ended, stop := context.WithTimeout(context.Background(), time.Second)
+		defer stop()
+		_ = server.Shutdown(ended)
+		<-done
+	})
+	return socket.Addr().String()
+}
+
+func relayCall(body []byte) *hemlockcall.Relay {
+	return &hemlockcall.Relay{ID: "id\xff", Service: "s", Origin: "o", Method: "POST", Host: "h", Path: "/a?b=c",
+		Fields: []hemlockcall.Field{{Name: "X", Value: "\xfe"}}, Body: body, Remaining: time.Second,
+		Objective: 300 * time.Millisecond, Priority: hemlockcall.Critical, Class: "c", Depth: 1, Repeatable: true,
+		Fingerprint: 7}
+}
+
+func TestLinkCarriesCallsSideBySide(t *testing.T) {
+	address := relayServer(t, func(_ context.Context, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+		return &hemlockcall.RelayAnswer{Status: 201, Fields: call.Fields, Body: call.Body, Service: time.Millisecond,
+			Feedback: hemlockcall.Feedback{InFlight: 3, Limit: 9}}, nil
+	})
+	links := NewLinks()
+	defer links.Close()
+	var group sync.WaitGroup
+	for size := range 40 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			// From empty bodies to such as take several parcels.
+			body := bytes.Repeat([]byte{byte(size)}, size*size*500)
+			answer, err := links.Relay(t.Context(), address, relayCall(body))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if answer.Status != 201 || !bytes.Equal(answer.Body, body) || answer.Feedback.Limit != 9 ||
+				len(answer.Fields) != 1 || answer.Fields[0].Value != "\xfe" {
+				t.Errorf("answer with %d of %d bytes, %+v", len(answer.Body), len(body), answer.Feedback)
+			}
+		}()
+	}
+	group.Wait()
+}
+
+func TestLinkPassesTheWholeCallOn(t *testing.T) {
+	sent := relayCall([]byte("body"))
+	got := make(chan *hemlockcall.Relay, 1)
+	address := relayServer(t, func(_ context.Context, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+		got <- call
+		return nil, hemlockcall.Refuse(hemlockcall.ReasonOverload, "full").WithRetryAfter(time.Second)
+	})
+	links := NewLinks()
+	defer links.Close()
+	_, err := links.Relay(t.Context(), address, sent)
+	refusal := hemlockcall.AsRefusal(err)
+	if refusal.Verdict != hemlockcall.NotRun || refusal.RetryAfter != time.Second || !refusal.Answered {
+		t.Errorf("refusal %+v", refusal)
+	}
+	call := <-got
+	if call.ID != sent.ID || call.Path != sent.Path || call.Remaining != sent.Remaining || call.Depth != 1 ||
+		call.Objective != sent.Objective || call.Priority != sent.Priority || call.Fingerprint != sent.Fingerprint {
+		t.Errorf("call %+v, want %+v", call, sent)
+	}
+}
+
+// Guards against a target that works on for a caller that has left.
+func TestLinkCancelReachesThePeer(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	address := relayServer(t, func(ctx context.Context, _ *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+		close(started)
+		<-ctx.Done()
+		close(ended)
+		return nil, hemlockcall.Doubt(hemlockcall.ReasonCancelled, "given up")
+	})
+	links := NewLinks()
+	defer links.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := links.Relay(ctx, address, relayCall(nil))
+	if refusal := hemlockcall.AsRefusal(err); refusal.Verdict != hemlockcall.Unknown {
+		t.Errorf("refusal %+v", refusal)
+	}
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the peer was not told within 500 ms")
+	}
+}
+
+// silentProxy passes bytes on until it is silenced; the connections stay open.
+type silentProxy struct {
+	mutex  sync.Mutex
+	silent bool
+}
+
+func (p *silentProxy) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &silentConn{Conn: connection, proxy: p}, nil
+}
+
+type silentConn struct {
+	net.Conn
+	proxy *silentProxy
+}
+
+func (c *silentConn) Write(data []byte) (int, error) {
+	c.proxy.mutex.Lock()
+	silent := c.proxy.silent
+	c.proxy.mutex.Unlock()
+	if silent {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// Guards against calls that wait until their time limit on a connection that went silent without a reset.
+func TestLinkGivesUpASilentConnection(t *testing.T) {
+	address := relayServer(t, func(context.Context, *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+		return &hemlockcall.RelayAnswer{Status: 200}, nil
+	})
+	proxy := &silentProxy{}
+	links := NewLinks(WithDial(proxy.dial))
+	defer links.Close()
+	if _, err := links.Relay(t.Context(), address, relayCall(nil)); err != nil {
+		t.Fatal(err)
+	}
+	proxy.mutex.Lock()
+	proxy.silent = true
+	proxy.mutex.Unlock()
+	call := relayCall(nil)
+	call.Remaining = 10 * time.Second
+	started := time.Now()
+	_, err := links.Relay(t.Context(), address, call)
+	if refusal := hemlockcall.AsRefusal(err); refusal.Verdict != hemlockcall.Unknown {
+		t.Errorf("refusal %+v", refusal)
+	}
+	if took := time.Since(started); took > 2*linkLost {
+		t.Errorf("given up after %v", took)
+	}
+	proxy.mutex.Lock()
+	proxy.silent = false
+	proxy.mutex.Unlock()
+	if _, err := links.Relay(t.Context(), address, relayCall(nil)); err != nil {
+		t.Errorf("a new connection does not serve: %v", err)
+	}
+}
+
+func TestLinkWithoutPeer(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := socket.Addr().String()
+	_ = socket.Close()
+	links := NewLinks()
+	defer links.Close()
+	_, err = links.Relay(t.Context(), address, relayCall(nil))
+	if refusal := hemlockcall.AsRefusal(err); refusal.Verdict != hemlockcall.NotRun {
+		t.Errorf("refusal %+v", refusal)
+	}
+}
--- a/hemlockpressure/valve.go
+++ b/hemlockpressure/valve.go
@@ -11,11 +11,11 @@
 	// step is how often a share changes: the time until an admitted tree reaches the deep service.
 	step = 100 * time.Millisecond
 	// gain is the part by which the share falls in a step for a load that is one whole limit too high.
-	gain = 0.6
+	gain = 0.2
 	// largestCut bounds the fall in one step.
-	largestCut = 0.5
+	largestCut = 0.25
 	// growth is the part by which the share rises in a step at no load.
-	growth = 0.5
+	growth = 0.4
 	// leastShare keeps some trees going, so that room is noticed.
 	leastShare = 0.02
 )
--- /dev/null
+++ b/hemlockrelay/entry_test.go
@@ -0,0 +1,119 @@
+package hemlockrelay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+func refuseWith(refusal *hemlockcall.Refusal) *fakeTarget {
+	return &fakeTarget{answer: func(context.Context, int, *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+		return nil, refusal
+	}}
+}
+
+func reachedRefusal() *hemlockcall.Refusal {
+	r := hemlockcall.Refuse(hemlockcall.ReasonOverload, "shed")
+	r.Reached = true
+	return r
+}
+
+func TestEntryRepeats(t *testing.T) {
+	doubt := hemlockcall.Doubt(hemlockcall.ReasonTarget, "reset")
+	leaving := hemlockcall.Refuse(hemlockcall.ReasonLeaving, "leaving")
+	for _, c := range []struct {
+		name       string
+		refusal    *hemlockcall.Refusal
+		repeatable bool
+		attempts   int
+		answered   bool
+	}{
+		{"a repeatable call after a lost answer", doubt, true, 2, true},
+		{"no other call after a lost answer", doubt, false, 2, false},
+		{"any call that did not reach a target", leaving, false, 1, true},
+		{"any call that its target did not run", reachedRefusal(), false, 2, true},
+		{"nothing beyond the attempts of the route", doubt, true, 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			links := fakeLinks{"a": refuseWith(c.refusal), "b": {}}
+			call := newCall()
+			call.Repeatable = c.repeatable
+			_, err := newTestEntry(links).Relay(t.Context(), call, c.attempts)
+			if (err == nil) != c.answered {
+				t.Errorf("error %v", err)
+			}
+			if links["a"].count() > 1 {
+				t.Errorf("%d calls at one target", links["a"].count())
+			}
+		})
+	}
+}
+
+// Guards against "not run" after an attempt that may have run.
+func TestEntryKeepsDoubt(t *testing.T) {
+	links := fakeLinks{"a": refuseWith(hemlockcall.Doubt(hemlockcall.ReasonTarget, "reset")),
+		"b": refuseWith(hemlockcall.Refuse(hemlockcall.ReasonOverload, "full"))}
+	_, err := newTestEntry(links).Relay(t.Context(), newCall(), 2)
+	wantRefusal(t, err, hemlockcall.Unknown, hemlockcall.ReasonTarget)
+}
+
+func TestEntryWithoutTarget(t *testing.T) {
+	_, err := newTestEntry(fakeLinks{}).Relay(t.Context(), newCall(), 2)
+	wantRefusal(t, err, hemlockcall.NotRun, hemlockcall.ReasonUnavailable)
+}
+
+// Guards against a tree that fails for the one answer that a target lost.
+func TestEntryHedgesALateAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		quick := func(context.Context, int, *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+			time.Sleep(10 * time.Millisecond)
+			return ok(), nil
+		}
+		lost := func(ctx context.Context, number int, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+			if number <= 30 {
+				return quick(ctx, number, call)
+			}
+			<-ctx.Done()
+			return nil, hemlockcall.Doubt(hemlockcall.ReasonCancelled, "given up")
+		}
+		links := fakeLinks{"a": {answer: lost}, "b": {answer: lost}}
+		e := newTestEntry(links)
+		for range 30 {
+			if _, err := e.Relay(t.Context(), newCall(), 2); err != nil {
+				t.Fatal(err)
+			}
+		}
+		links["b"].answer, links["a"].answer = quick, func(ctx context.Context, _ int, call *hemlockcall.Relay,
+		) (*hemlockcall.RelayAnswer, error) {
+			return lost(ctx, 31, call)
+		}
+		for range 5 {
+			started := time.Now()
+			if _, err := e.Relay(t.Context(), newCall(), 2); err != nil {
+				t.Fatal(err)
+			}
+			if took := time.Since(started); took > 200*time.Millisecond {
+				t.Errorf("answered after %v", took)
+			}
+		}
+	})
+}
+
+func TestEntryEndsAtItsTimeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := &fakeTarget{answer: func(ctx context.Context, _ int, _ *hemlockcall.Relay) (*hemlockcall.RelayAnswer,
+			error) {
+			<-ctx.Done()
+			return nil, hemlockcall.Doubt(hemlockcall.ReasonDeadline, "given up")
+		}}
+		started := time.Now()
+		_, err := newTestEntry(fakeLinks{"a": silent}).Relay(t.Context(), newCall(), 2)
+		wantRefusal(t, err, hemlockcall.Unknown, hemlockcall.ReasonDeadline)
+		if took := time.Since(started); took > 1100*time.Millisecond {
+			t.Errorf("ended after %v", took)
+		}
+	})
+}
--- /dev/null
+++ b/hemlockrelay/fixture_test.go
@@ -0,0 +1,93 @@
+package hemlockrelay
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockplacement"
+	"hemlockhollow/hemlockretry"
+	"hemlockhollow/hemlocksuspect"
+)
+
+// fakeTarget is a target or a node beside one.
+type fakeTarget struct {
+	mutex sync.Mutex
+	calls int
+	// answer is called for each call; its number starts at 1.
+	answer func(ctx context.Context, number int, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error)
+}
+
+func (f *fakeTarget) Relay(ctx context.Context, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+	f.mutex.Lock()
+	f.calls++
+	number := f.calls
+	f.mutex.Unlock()
+	if f.answer == nil {
+		return ok(), nil
+	}
+	return f.answer(ctx, number, call)
+}
+
+func (f *fakeTarget) count() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.calls
+}
+
+func ok() *hemlockcall.RelayAnswer {
+	return &hemlockcall.RelayAnswer{Status: 200, Service: 10 * time.Millisecond}
+}
+
+// fakeLinks reaches fake targets by address.
+type fakeLinks map[string]*fakeTarget
+
+func (l fakeLinks) Relay(ctx context.Context, address string, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer,
+	error) {
+	return l[address].Relay(ctx, call)
+}
+
+// quiet is an observer that notes nothing.
+type quiet struct{}
+
+func (quiet) Answered(Side, *hemlockcall.Relay, *hemlockcall.RelayAnswer, time.Duration) {}
+func (quiet) Refused(Side, *hemlockcall.Relay, *hemlockcall.Refusal, time.Duration)      {}
+func (quiet) Repeated(*hemlockcall.Relay, string, *hemlockcall.Refusal, int)             {}
+
+func newCall() *hemlockcall.Relay {
+	return &hemlockcall.Relay{ID: "r", Service: "s", Origin: "o", Method: "GET", Path: "/", Class: "c",
+		Remaining: time.Second, Priority: hemlockcall.Important, Repeatable: true, Fingerprint: 1}
+}
+
+func newTestGate(target hemlockcall.Relayer, slots int) *Gate {
+	g := NewGate(target, hemlocksuspect.New("self"), quiet{})
+	g.SetState(time.Now(), TargetState{Service: "s", Instance: "i", Slots: slots, Ready: true})
+	return g
+}
+
+// newTestEntry returns an entry whose service has a target at each address of the links.
+func newTestEntry(links fakeLinks) *Entry {
+	table := hemlockplacement.New("a", func(int) int { return 0 })
+	var targets []hemlockplacement.Target
+	for address := range links {
+		targets = append(targets, hemlockplacement.Target{Address: address, Zone: "a", Service: "s", Slots: 10, Ready: true})
+	}
+	table.Replace(targets)
+	budget := hemlockretry.NewSharedBudget(hemlockretry.Allowance{Ratio: 0.2, Slack: 100, Window: time.Second})
+	for range 100 {
+		budget.Earn(time.Now(), "s")
+	}
+	return NewEntry("self", newTestGate(&fakeTarget{}, 1), links, table, budget, quiet{})
+}
+
+func wantRefusal(t *testing.T, err error, verdict hemlockcall.Verdict, reason hemlockcall.Reason) {
+	t.Helper()
+	if err == nil {
+		t.Fatal("no refusal")
+	}
+	if r := hemlockcall.AsRefusal(err); r.Verdict != verdict || r.Reason != reason {
+		t.Errorf("refused as %v, want %v: %v", r, verdict, reason)
+	}
+}
--- /dev/null
+++ b/hemlockrelay/gate_test.go
@@ -0,0 +1,144 @@
+package hemlockrelay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+func TestGate(t *testing.T) {
+	t.Run("never hands over more than the slots", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			running, most := 0, 0
+			target := &fakeTarget{}
+			target.answer = func(context.Context, int, *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+				target.mutex.Lock()
+				running++
+				most = max(most, running)
+				target.mutex.Unlock()
+				time.Sleep(10 * time.Millisecond)
+				target.mutex.Lock()
+				running--
+				target.mutex.Unlock()
+				return ok(), nil
+			}
+			g := newTestGate(target, 4)
+			for range 12 {
+				go func() { _, _ = g.Relay(t.Context(), newCall()) }()
+			}
+			synctest.Wait()
+			time.Sleep(time.Second)
+			reached := target.count()
+			target.mutex.Lock()
+			defer target.mutex.Unlock()
+			if most > 4 || reached != 12 {
+				t.Errorf("%d at the same time, %d in all", most, reached)
+			}
+		})
+	})
+	// Guards against a queued call that reaches a target after its leaving was acknowledged.
+	t.Run("refuses what waits when the target leaves", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			target := &fakeTarget{answer: func(context.Context, int, *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+				time.Sleep(100 * time.Millisecond)
+				return ok(), nil
+			}}
+			g := newTestGate(target, 1)
+			go func() { _, _ = g.Relay(t.Context(), newCall()) }()
+			synctest.Wait()
+			ended := make(chan error, 1)
+			go func() {
+				_, err := g.Relay(t.Context(), newCall())
+				ended <- err
+			}()
+			synctest.Wait()
+			state := g.State()
+			state.Ready = false
+			g.SetState(time.Now(), state)
+			wantRefusal(t, <-ended, hemlockcall.NotRun, hemlockcall.ReasonUnavailable)
+			_, err := g.Relay(t.Context(), newCall())
+			wantRefusal(t, err, hemlockcall.NotRun, hemlockcall.ReasonLeaving)
+			time.Sleep(time.Second)
+			if target.count() != 1 {
+				t.Errorf("%d calls reached the target", target.count())
+			}
+		})
+	})
+	t.Run("refuses the calls of another service", func(t *testing.T) {
+		target := &fakeTarget{}
+		call := newCall().WithService("other")
+		_, err := newTestGate(target, 1).Relay(t.Context(), call)
+		wantRefusal(t, err, hemlockcall.NotRun, hemlockcall.ReasonUnavailable)
+		if target.count() != 0 {
+			t.Error("the call reached the target")
+		}
+	})
+	t.Run("a call that is given up in the queue has not run", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			target := &fakeTarget{answer: func(context.Context, int, *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+				time.Sleep(time.Second)
+				return ok(), nil
+			}}
+			g := newTestGate(target, 1)
+			go func() { _, _ = g.Relay(t.Context(), newCall()) }()
+			synctest.Wait()
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() {
+				_, err := g.Relay(ctx, newCall())
+				ended <- err
+			}()
+			synctest.Wait()
+			cancel()
+			wantRefusal(t, <-ended, hemlockcall.NotRun, hemlockcall.ReasonCancelled)
+			time.Sleep(2 * time.Second)
+			if target.count() != 1 {
+				t.Errorf("%d calls reached the target", target.count())
+			}
+		})
+	})
+	// Guards against a short lookup that waits behind calls with more time at a full service.
+	t.Run("serves the objective that ends first", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			order := make(chan string, 3)
+			target := &fakeTarget{answer: func(_ context.Context, _ int, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer,
+				error) {
+				order <- call.ID
+				time.Sleep(10 * time.Millisecond)
+				return ok(), nil
+			}}
+			g := newTestGate(target, 1)
+			send := func(id string, objective time.Duration) {
+				call := newCall()
+				call.ID, call.Objective = id, objective
+				go func() { _, _ = g.Relay(t.Context(), call) }()
+				synctest.Wait()
+			}
+			send("running", 300*time.Millisecond)
+			send("nested", 300*time.Millisecond)
+			send("lookup", 100*time.Millisecond)
+			time.Sleep(time.Second)
+			for _, want := range []string{"running", "lookup", "nested"} {
+				if got := <-order; got != want {
+					t.Errorf("%s was run before %s", got, want)
+				}
+			}
+		})
+	})
+	t.Run("stops a request that was in flight at two crashes", func(t *testing.T) {
+		target := &fakeTarget{answer: func(context.Context, int, *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+			return nil, hemlockcall.Doubt(hemlockcall.ReasonTarget, "reset")
+		}}
+		g := newTestGate(target, 1)
+		for range 2 {
+			_, err := g.Relay(t.Context(), newCall())
+			wantRefusal(t, err, hemlockcall.Unknown, hemlockcall.ReasonTarget)
+			g.suspects.TargetDied(time.Now())
+		}
+		_, err := g.Relay(t.Context(), newCall())
+		wantRefusal(t, err, hemlockcall.NotRun, hemlockcall.ReasonSuspect)
+	})
+}
--- /dev/null
+++ b/hemlockroute/route_test.go
@@ -0,0 +1,74 @@
+package hemlockroute
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func table(version uint64, routes ...Route) *Table {
+	return NewTable(version, routes, nil, Limits{})
+}
+
+func TestMatch(t *testing.T) {
+	routes := table(1, Route{Name: "short", Host: "h", Prefix: "/a/"}, Route{Name: "long", Host: "h", Prefix: "/a/b/"},
+		Route{Name: "other", Host: "g", Prefix: "/"})
+	for _, c := range []struct{ host, path, want string }{
+		{"h", "/a/x", "short"}, {"h", "/a/b/x", "long"}, {"H:8080", "/a/b/", "long"}, {"h", "/a/b?x=/a/", "short"},
+		{"h", "/b/", ""}, {"h", "/a", ""}, {"g", "/anything", "other"}, {"nowhere", "/a/", ""},
+	} {
+		got := ""
+		if r, ok := routes.Match(c.host, c.path); ok {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Guards against a configuration that goes back to an older version.
+func TestHolderNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h Holder
+		highest := uint64(0)
+		for _, v := range rapid.SliceOf(rapid.Uint64Range(1, 50)).Draw(t, "versions") {
+			taken := h.Take(table(v))
+			if taken != (v > highest) {
+				t.Fatalf("version %d after %d: taken %v", v, highest, taken)
+			}
+			highest = max(highest, v)
+			if h.Version() != highest {
+				t.Fatalf("version %d in force, want %d", h.Version(), highest)
+			}
+		}
+	})
+}
+
+// Guards against parts of a split that get another share than their weight.
+func TestSplitterFollowsTheWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 100), 1, 4).Draw(t, "weights")
+		phase := rapid.Float64Range(0, 0.999).Draw(t, "phase")
+		r := Route{Name: "r"}
+		total := 0
+		for i, w := range weights {
+			r.Splits = append(r.Splits, Split{Service: string(rune('a' + i)), Weight: float64(w)})
+			total += w
+		}
+		s := NewSplitter(func() float64 { return phase })
+		const requests = 200
+		counts := map[string]int{}
+		for range requests {
+			counts[s.Choose(1, &r)]++
+		}
+		for i, w := range weights {
+			want := float64(w) / float64(total)
+			got := float64(counts[string(rune('a'+i))]) / requests
+			if math.Abs(got-want) > 0.02 {
+				t.Fatalf("part %d of %v got %.3f, want %.3f", i, weights, got, want)
+			}
+		}
+	})
+}
