--- a/hemlockcall/refusal.go
+++ b/hemlockcall/refusal.go
@@ -63,6 +63,8 @@
 	Answered bool
 	// Reached marks a refusal of the target itself: the call arrived there, though it may not have run.
 	Reached bool
+	// Peer is the node that the refused attempt went to, as the entry knows it; it does not travel.
+	Peer string
 }
 
 // Refuse returns a refusal as not run.
@@ -98,6 +100,13 @@
 	return &changed
 }
 
+// WithPeer returns a copy that names the node of the refused attempt.
+func (r *Refusal) WithPeer(peer string) *Refusal {
+	changed := *r
+	changed.Peer = peer
+	return &changed
+}
+
 // AsRefusal returns the refusal in the chain of err; any other error becomes a refusal of unknown outcome.
 func AsRefusal(err error) *Refusal {
 	var refusal *Refusal
--- a/hemlockcall/relay.go
+++ b/hemlockcall/relay.go
@@ -66,6 +66,8 @@
 	Feedback Feedback
 	// Service is the time that the target took.
 	Service time.Duration
+	// Peer is the node beside the target, as the entry knows it; it does not travel.
+	Peer string
 }
 
 // Relayer carries a call out or passes it on. An error is a Refusal.
--- a/hemlockcommand/command.go
+++ b/hemlockcommand/command.go
@@ -79,6 +79,7 @@
 		c.check(),
 		c.publish(ctx),
 		c.state(ctx),
+		c.explain(),
 		{name: "version", description: "print the version", run: c.version},
 	}
 }
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -137,7 +137,7 @@
 	}
 	now := time.Now()
 	if err != nil {
-		refusal := hemlockcall.AsRefusal(err)
+		refusal := hemlockcall.AsRefusal(err).WithPeer(address)
 		if refusal.Reason == hemlockcall.ReasonCancelled && a.overtaken.Load() {
 			a.entry.done(now, address, call, hemlockplacement.Result{Outcome: hemlockplacement.TimedOut})
 			return nil, refusal
@@ -146,6 +146,7 @@
 		return nil, refusal
 	}
 	a.entry.latency.add(call.Class, now.Sub(started))
+	answer.Peer = address
 	// An error of the target counts as an answer: most are the failures of calls below it.
 	a.entry.done(now, address, call, hemlockplacement.Result{Outcome: hemlockplacement.Completed,
 		Service: answer.Service, Feedback: answer.Feedback})
--- a/hemlocktelemetry/observer.go
+++ b/hemlocktelemetry/observer.go
@@ -52,7 +52,7 @@
 		return
 	}
 	o.log.Info("call answered", append(describe(side, call, took, o.version()),
-		"status", answer.Status, "service-ms", milliseconds(answer.Service), "in-flight", answer.Feedback.InFlight,
+		"peer", answer.Peer, "status", answer.Status, "service-ms", milliseconds(answer.Service), "in-flight", answer.Feedback.InFlight,
 		"limit", answer.Feedback.Limit)...)
 }
 
@@ -66,8 +66,8 @@
 		return
 	}
 	o.log.Info("call refused", append(describe(side, call, took, o.version()),
-		"verdict", refusal.Verdict.String(), "reason", string(refusal.Reason), "detail", refusal.Detail,
-		"reached", refusal.Reached, "in-flight", refusal.Feedback.InFlight, "limit", refusal.Feedback.Limit,
+		"peer", refusal.Peer, "verdict", refusal.Verdict.String(), "reason", string(refusal.Reason),
+		"detail", refusal.Detail, "reached", refusal.Reached, "in-flight", refusal.Feedback.InFlight, "limit", refusal.Feedback.Limit,
 		"level", refusal.Feedback.Level.String(), "retry-after-ms", milliseconds(refusal.RetryAfter))...)
 }
 
