--- a/hemlockpressure/pressure.go
+++ b/hemlockpressure/pressure.go
@@ -20,6 +20,13 @@
 	missingAge = 300 * time.Millisecond
 	// missingLoad stands for the load of a missing service: trees that need it fail.
 	missingLoad = 5
+	// treeWeight is the weight of one tree in the moving share of failures, treeFade the time in which it halves without.
+	treeWeight = 0.08
+	treeFade   = time.Second
+	// treeFailing is the share of failures above which trees of a class are taken to lack a service.
+	treeFailing = 0.5
+	// treeClasses bounds the classes that are told apart.
+	treeClasses = 256
 )
 
 // Average is a moving mean over time. The zero value is ready.
@@ -57,11 +64,23 @@
 	services map[string]*Average
 	// missing is until when a service counts as missing.
 	missing time.Time
+	trees   map[string]*failing
+}
+
+// failing is the moving share of the trees of one class that failed.
+type failing struct {
+	share float64
+	at    time.Time
+}
+
+// value fades with time, so that a class is tried again.
+func (f *failing) value(now time.Time) float64 {
+	return f.share / (1 + now.Sub(f.at).Seconds()/treeFade.Seconds())
 }
 
 // NewMonitor returns a monitor that has heard of no service.
 func NewMonitor() *Monitor {
-	return &Monitor{services: map[string]*Average{}}
+	return &Monitor{services: map[string]*Average{}, trees: map[string]*failing{}}
 }
 
 // Report takes in the load that a node reported with the end of a call to a service.
@@ -83,6 +102,39 @@
 	m.missing = now.Add(missingAge)
 }
 
+// Ended takes in how a tree of a class ended.
+func (m *Monitor) Ended(now time.Time, class string, failed bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	f := m.trees[class]
+	if f == nil {
+		if len(m.trees) >= treeClasses {
+			clear(m.trees) // names of routes that are gone
+		}
+		f = &failing{at: now}
+		m.trees[class] = f
+	}
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	f.share = f.value(now) + (sample-f.value(now))*treeWeight
+	f.at = now
+}
+
+// ForTree returns the load by which the trees of a class are let in: that of the most loaded service, or one that rises
+// with the share of trees that fail, where most of them do. A service below may be cut off or refuse at random, which its
+// load does not show.
+func (m *Monitor) ForTree(now time.Time, class string) float64 {
+	load := m.Highest(now)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if f := m.trees[class]; f != nil && f.value(now) > treeFailing {
+		load = max(load, missingLoad*f.value(now))
+	}
+	return load
+}
+
 // Load returns the load of one service.
 func (m *Monitor) Load(now time.Time, service string) float64 {
 	m.mutex.Lock()
--- a/hemlockpressure/valve_test.go
+++ b/hemlockpressure/valve_test.go
@@ -68,3 +68,24 @@
 		}
 	})
 }
+
+// Guards against trees that are begun one after the other although a service that they need is cut off.
+func TestFailingTreesCountAsLoad(t *testing.T) {
+	start := time.Unix(1000, 0)
+	m := NewMonitor()
+	m.Report(start, "a", 0.5)
+	for i := range 40 {
+		m.Ended(start.Add(time.Duration(i)*time.Millisecond), "browse", true)
+		m.Ended(start.Add(time.Duration(i)*time.Millisecond), "order", i%4 == 0)
+	}
+	now := start.Add(40 * time.Millisecond)
+	if load := m.ForTree(now, "browse"); load < 4 {
+		t.Errorf("load %.2f for a class that always fails", load)
+	}
+	if load := m.ForTree(now, "order"); load > 1 {
+		t.Errorf("load %.2f for a class of which a quarter fails", load)
+	}
+	if load := m.ForTree(now.Add(2*time.Second), "browse"); load > 1 {
+		t.Errorf("load %.2f two seconds after the last tree", load)
+	}
+}
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -18,6 +18,8 @@
 	leastTime = 15 * time.Millisecond
 	// peerMargin is how much earlier than this node another one gives a call up, so that its refusal arrives in time.
 	peerMargin = 10 * time.Millisecond
+	// serverError is the lowest status by which a target says that it failed.
+	serverError = 500
 )
 
 // Links carries a call to the node beside a target.
@@ -59,6 +61,7 @@
 	defer cancel()
 	a := &attempts{entry: e, call: call, deadline: deadline, most: max(maxAttempts, 1)}
 	answer, err := a.run(ctx)
+	e.monitor.Ended(time.Now(), call.Class, err != nil && ctx.Err() == nil || err == nil && answer.Status >= serverError)
 	if err != nil {
 		refusal := hemlockcall.AsRefusal(err)
 		e.observer.Refused(SideEntry, call, refusal, time.Since(arrival))
@@ -77,7 +80,7 @@
 // admit turns fresh trees away while a service that they lead to has no room. Important calls are left to the gates: they
 // are leaves of a tree, which is paid for, or go to a deep service directly.
 func (e *Entry) admit(now time.Time, call *hemlockcall.Relay) *hemlockcall.Refusal {
-	if call.Priority == hemlockcall.Important || e.valve.Admit(now, call.Priority, e.monitor.Highest(now)) {
+	if call.Priority == hemlockcall.Important || e.valve.Admit(now, call.Priority, e.monitor.ForTree(now, call.Class)) {
 		return nil
 	}
 	wait := returnSoon + time.Duration(float64(returnLate)*(1-e.valve.Share(call.Priority)))
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -208,7 +208,6 @@
 		// A target that refuses within its slots is at fault; a lower limit would only take room from other calls.
 		return hemlockadmission.Failed
 	}
-	const serverError = 500
 	if answer.Status < serverError {
 		return hemlockadmission.Completed
 	}
