--- /dev/null
+++ b/hemlocksuspect/proof_test.go
@@ -0,0 +1,45 @@
+package hemlocksuspect
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a request that many callers send and that is refused because it is in flight at every crash.
+func TestProof(t *testing.T) {
+	start := time.Unix(1000, 0)
+	crashed := func(table *Table, fingerprint uint64, now time.Time) {
+		flight := table.Started(fingerprint)
+		table.Finished(now, flight, false)
+		table.TargetDied(now)
+	}
+	t.Run("a request that completes is not suspected", func(t *testing.T) {
+		table := New("a", WithProof(time.Minute))
+		table.Finished(start, table.Started(1), true)
+		for i := range 3 {
+			crashed(table, 1, start.Add(time.Duration(i)*time.Second))
+		}
+		if v := table.Check(start.Add(3*time.Second), 1); v != Run {
+			t.Errorf("verdict %v", v)
+		}
+	})
+	t.Run("one that never completed is", func(t *testing.T) {
+		table := New("a", WithProof(time.Minute))
+		table.Finished(start, table.Started(1), true)
+		crashed(table, 2, start)
+		crashed(table, 2, start)
+		if v := table.Check(start, 2); v != Refuse {
+			t.Errorf("verdict %v", v)
+		}
+	})
+	t.Run("the proof ends", func(t *testing.T) {
+		table := New("a", WithProof(time.Minute))
+		table.Finished(start, table.Started(1), true)
+		later := start.Add(2 * time.Minute)
+		crashed(table, 1, later)
+		crashed(table, 1, later)
+		if v := table.Check(later, 1); v != Refuse {
+			t.Errorf("verdict %v", v)
+		}
+	})
+}
--- a/hemlocksuspect/table.go
+++ b/hemlocksuspect/table.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 const (
@@ -84,6 +86,9 @@
 	digest    uint64
 	purged    time.Time
 	dropped   uint64
+	// proven holds when requests last completed; nil without WithProof.
+	proven   *lru.Cache[uint64, time.Time]
+	proofAge time.Duration
 }
 
 // Option changes a Table.
@@ -99,6 +104,27 @@
 	return func(t *Table) { t.size = size }
 }
 
+// WithProof makes a completed run speak for all requests with the same content for some time: a request that crashes its
+// targets never completes, while one that many callers send is in flight at every crash.
+func WithProof(age time.Duration) Option {
+	return func(t *Table) {
+		cache, err := lru.New[uint64, time.Time](t.size)
+		if err != nil {
+			panic(err) // only for a size of 0 or less
+		}
+		t.proven, t.proofAge = cache, age
+	}
+}
+
+// isProven reports whether a request with the same content has completed lately.
+func (t *Table) isProven(now time.Time, fingerprint uint64) bool {
+	if t.proven == nil {
+		return false
+	}
+	at, ok := t.proven.Peek(fingerprint)
+	return ok && now.Sub(at) < t.proofAge
+}
+
 // New returns an empty table of the node with the given address.
 func New(origin string, options ...Option) *Table {
 	t := &Table{
@@ -116,6 +142,9 @@
 func (t *Table) Check(now time.Time, fingerprint uint64) Verdict {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if t.isProven(now, fingerprint) {
+		return Run
+	}
 	switch count := t.count(now, fingerprint); {
 	case count >= limit:
 		return Refuse
@@ -160,6 +189,9 @@
 		t.forgetDoubts(now)
 		return nil
 	}
+	if t.proven != nil {
+		t.proven.Add(f.fingerprint, now)
+	}
 	if t.count(now, f.fingerprint) != 1 {
 		return nil
 	}
@@ -202,6 +234,9 @@
 	}
 	records := make([]Record, 0, len(t.inFlight))
 	for fingerprint := range t.inFlight {
+		if t.isProven(now, fingerprint) {
+			continue
+		}
 		key := crashKey{fingerprint, t.origin, t.lastID}
 		c := crash{seen: now}
 		t.put(key, c)
