--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -63,7 +63,7 @@
 	answer, err := a.run(ctx)
 	e.monitor.Ended(time.Now(), call.Class, err != nil && ctx.Err() == nil || err == nil && answer.Status >= serverError)
 	if err != nil {
-		refusal := hemlockcall.AsRefusal(err)
+		refusal := adviseReturn(hemlockcall.AsRefusal(err), time.Until(deadline))
 		e.observer.Refused(SideEntry, call, refusal, time.Since(arrival))
 		return nil, refusal
 	}
@@ -88,6 +88,19 @@
 		WithRetryAfter(min(wait, call.Remaining/3))
 }
 
+// adviseReturn says when to come back with a call that has not run: soon, but within a third of the time that is left,
+// beyond which clients do not wait.
+func adviseReturn(refusal *hemlockcall.Refusal, left time.Duration) *hemlockcall.Refusal {
+	if refusal.Verdict != hemlockcall.NotRun {
+		return refusal
+	}
+	wait := refusal.RetryAfter
+	if wait <= 0 {
+		wait = returnSoon
+	}
+	return refusal.WithRetryAfter(max(0, min(wait, left/3)))
+}
+
 // attempts is one call on its way to an answer.
 type attempts struct {
 	entry    *Entry
--- a/hemlockrelay/entry_test.go
+++ b/hemlockrelay/entry_test.go
@@ -60,9 +60,13 @@
 	wantRefusal(t, err, hemlockcall.Unknown, hemlockcall.ReasonTarget)
 }
 
+// Guards against a client that is not told when to come back, or later than it waits.
 func TestEntryWithoutTarget(t *testing.T) {
 	_, err := newTestEntry(fakeLinks{}).Relay(t.Context(), newCall(), 2)
 	wantRefusal(t, err, hemlockcall.NotRun, hemlockcall.ReasonUnavailable)
+	if wait := hemlockcall.AsRefusal(err).RetryAfter; wait <= 0 || wait > newCall().Remaining/3 {
+		t.Errorf("told to come back after %v", wait)
+	}
 }
 
 // Guards against a tree that fails for the one answer that a target lost.
