--- a/hemlockpressure/pressure.go
+++ b/hemlockpressure/pressure.go
@@ -122,21 +122,29 @@
 	f.at = now
 }
 
+// Load is a load with what it stems from.
+type Load struct {
+	// Value is the load as a multiple of a limit.
+	Value float64
+	// Cause is the most loaded service, or says what else the load stands for.
+	Cause string
+}
+
 // ForTree returns the load by which the trees of a class are let in: that of the most loaded service, or one that rises
 // with the share of trees that fail, where most of them do. A service below may be cut off or refuse at random, which its
 // load does not show.
-func (m *Monitor) ForTree(now time.Time, class string) float64 {
-	load := m.Highest(now)
+func (m *Monitor) ForTree(now time.Time, class string) Load {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if f := m.trees[class]; f != nil && f.value(now) > treeFailing {
-		load = max(load, missingLoad*f.value(now))
+	load := m.highest(now)
+	if f := m.trees[class]; f != nil && f.value(now) > treeFailing && missingLoad*f.value(now) > load.Value {
+		return Load{Value: missingLoad * f.value(now), Cause: "failing trees"}
 	}
 	return load
 }
 
-// Load returns the load of one service.
-func (m *Monitor) Load(now time.Time, service string) float64 {
+// Of returns the load of one service.
+func (m *Monitor) Of(now time.Time, service string) float64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if a := m.services[service]; a != nil {
@@ -149,12 +157,19 @@
 func (m *Monitor) Highest(now time.Time) float64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	return m.highest(now).Value
+}
+
+// highest is called with the lock held.
+func (m *Monitor) highest(now time.Time) Load {
 	if now.Before(m.missing) {
-		return missingLoad
+		return Load{Value: missingLoad, Cause: "a service without a target"}
 	}
-	highest := 0.0
-	for _, a := range m.services {
-		highest = max(highest, a.Value(now))
+	var highest Load
+	for name, a := range m.services {
+		if value := a.Value(now); value > highest.Value {
+			highest = Load{Value: value, Cause: name}
+		}
 	}
 	return highest
 }
--- a/hemlockpressure/valve_test.go
+++ b/hemlockpressure/valve_test.go
@@ -79,13 +79,13 @@
 		m.Ended(start.Add(time.Duration(i)*time.Millisecond), "order", i%4 == 0)
 	}
 	now := start.Add(40 * time.Millisecond)
-	if load := m.ForTree(now, "browse"); load < 4 {
+	if load := m.ForTree(now, "browse").Value; load < 4 {
 		t.Errorf("load %.2f for a class that always fails", load)
 	}
-	if load := m.ForTree(now, "order"); load > 1 {
+	if load := m.ForTree(now, "order").Value; load > 1 {
 		t.Errorf("load %.2f for a class of which a quarter fails", load)
 	}
-	if load := m.ForTree(now.Add(2*time.Second), "browse"); load > 1 {
+	if load := m.ForTree(now.Add(2*time.Second), "browse").Value; load > 1 {
 		t.Errorf("load %.2f two seconds after the last tree", load)
 	}
 }
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -80,11 +81,17 @@
 // admit turns fresh trees away while a service that they lead to has no room. Important calls are left to the gates: they
 // are leaves of a tree, which is paid for, or go to a deep service directly.
 func (e *Entry) admit(now time.Time, call *hemlockcall.Relay) *hemlockcall.Refusal {
-	if call.Priority == hemlockcall.Important || e.valve.Admit(now, call.Priority, e.monitor.ForTree(now, call.Class)) {
+	if call.Priority == hemlockcall.Important {
 		return nil
 	}
-	wait := returnSoon + time.Duration(float64(returnLate)*(1-e.valve.Share(call.Priority)))
-	return hemlockcall.Refuse(hemlockcall.ReasonOverload, "a service below has no room for new trees of calls").
+	load := e.monitor.ForTree(now, call.Class)
+	if e.valve.Admit(now, call.Priority, load.Value) {
+		return nil
+	}
+	share := e.valve.Share(call.Priority)
+	wait := returnSoon + time.Duration(float64(returnLate)*(1-share))
+	return hemlockcall.Refuse(hemlockcall.ReasonOverload, fmt.Sprintf(
+		"no room for new trees of calls: load %.2f (%s), %.0f%% let in", load.Value, load.Cause, 100*share)).
 		WithRetryAfter(min(wait, call.Remaining/3))
 }
 
--- a/hemlockrelay/hedge.go
+++ b/hemlockrelay/hedge.go
@@ -119,7 +119,7 @@
 // second returns the target of an attempt beside the first one, if there is one and the shared budget allows it.
 func (a *attempts) second() (string, bool) {
 	now := time.Now()
-	if a.entry.monitor.Load(now, a.call.Service) > hedgeLoad {
+	if a.entry.monitor.Of(now, a.call.Service) > hedgeLoad {
 		return "", false
 	}
 	target, err := a.entry.table.Pick(now, a.call.Service, a.tried)
