--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 PLAIN    = $(filter-out $(PROPERTY),$(shell $(GO) list ./...))
 SKIP     := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: help build standins demo test bench lint check model soak fuzz generate format clean
+.PHONY: help build standins demo test bench lint check model soak soak-processes fuzz generate format clean
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/' | expand -t 12
 
@@ -51,6 +51,9 @@
 	@for i in $$(seq $(SEED) $$(( $(SEED) + $(N) - 1 ))); do \
 		echo "seed $$i"; $(GO) test -count=1 $(PROPERTY) -rapid.seed=$$i || exit 1; done
 
+soak-processes: ## fault soak with separate processes, N seeds starting at SEED
+	$(GO) test -count=1 -timeout 120m -run '^TestSoak$$' ./platform/hemlocksidecar -soak-seed=$(SEED) -soak-seeds=$(N)
+
 fuzz: ## fuzz what reads bytes from outside, 20 s a target
 	@for p in $$($(GO) list ./...); do for f in $$($(GO) test -list '^Fuzz' $$p 2>/dev/null | grep '^Fuzz'); do \
 		$(GO) test -run '^$$' -fuzz "^$$f$$" -fuzztime 20s $$p || exit 1; done; done
