--- a/hemlockrelay/presence.go
+++ b/hemlockrelay/presence.go
@@ -46,7 +46,7 @@
 	case p.last.Instance == "":
 	case a.Born != 0 && a.Born < p.last.Born:
 		return p.state(), false
-	case a.Instance == p.last.Instance && (a.Born == p.last.Born || a.Born == 0):
+	case a.Instance == p.last.Instance && (a.Born == p.last.Born || a.Born == 0 || p.last.Born == 0):
 		if !a.Gone && a.Sequence <= p.last.Sequence {
 			return p.state(), false
 		}
--- a/hemlockrelay/presence_test.go
+++ b/hemlockrelay/presence_test.go
@@ -28,6 +28,9 @@
 			[]Announcement{announcement("a", 1, 7), leaving(announcement("a", 1, 8)), announcement("a", 2, 1)}, "a", true},
 		{"gone without a leaving before",
 			[]Announcement{announcement("a", 1, 1), gone(Announcement{Instance: "a"})}, "a", false},
+		// Guards against a restarted node whose first news is that its target goes, without the time of its start.
+		{"a process that went is not ready again by a later announcement",
+			[]Announcement{gone(Announcement{Instance: "a"}), announcement("a", 1, 5)}, "a", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var p Presence
