--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"hemlockhollow/hemlockadmission"
@@ -21,8 +20,6 @@
 	slotShare = 0.95
 	// queueShare bounds the queue in multiples of the slots: a few service times, for a refused call fails its tree.
 	queueShare = 4
-	// nestedMemory is how long a failure of the target is put down to a refused call of its own.
-	nestedMemory = 300 * time.Millisecond
 )
 
 // waiter is a call at the gate.
@@ -42,10 +39,6 @@
 	state TargetState
 	// advancing is set while a goroutine drops late calls from the queue.
 	advancing bool
-
-	// nestedRefusedAt is when a call of the target was last refused for load, in nanoseconds since start.
-	nestedRefusedAt atomic.Int64
-	start           time.Time
 }
 
 // TargetState is what the gate knows about its target.
@@ -62,7 +55,7 @@
 
 // NewGate returns the gate of a target that is not known yet.
 func NewGate(target hemlockcall.Relayer, suspects *hemlocksuspect.Table, observer Observer) *Gate {
-	g := &Gate{target: target, suspects: suspects, observer: observer, start: time.Now()}
+	g := &Gate{target: target, suspects: suspects, observer: observer}
 	g.controller = hemlockadmission.New(0, func(t *hemlockadmission.Ticket[*waiter]) { close(t.Value.decided) },
 		hemlockadmission.WithQueueShare(queueShare),
 		// Entries turn less important trees away before they begin; a hold here would fail those that were let in. The slots
@@ -100,11 +93,6 @@
 	return g.controller.Snapshot(now)
 }
 
-// NestedRefused records that a call of the target was refused for load.
-func (g *Gate) NestedRefused() {
-	g.nestedRefusedAt.Store(int64(time.Since(g.start)))
-}
-
 // Relay implements hemlockcall.Relayer: it runs the call at the target, or refuses it.
 func (g *Gate) Relay(ctx context.Context, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
 	arrival := time.Now()
@@ -211,9 +199,6 @@
 	if answer.Status < serverError {
 		return hemlockadmission.Completed
 	}
-	if at := g.nestedRefusedAt.Load(); at > 0 && time.Since(g.start)-time.Duration(at) < nestedMemory {
-		return hemlockadmission.NestedShed
-	}
 	return hemlockadmission.Failed
 }
 
--- a/hemlockrouting/table.go
+++ b/hemlockrouting/table.go
@@ -51,8 +51,7 @@
 	entries := make(map[string]*entry, len(targets))
 	for _, target := range targets {
 		e := t.entries[target.Address]
-		if e == nil || target.Ready && !e.target.Ready || e.target.Service != target.Service ||
-			e.target.Generation != target.Generation {
+		if e == nil || target.Ready && !e.target.Ready || e.target.Service != target.Service {
 			fresh := &entry{}
 			if e != nil {
 				fresh.inFlight = e.inFlight
--- a/hemlockrouting/target.go
+++ b/hemlockrouting/target.go
@@ -34,8 +34,6 @@
 	Slots int
 	// Ready is false while the target is joining or leaving; it then gets no new calls.
 	Ready bool
-	// Generation changes when another process serves the target; what was learned about the former one is dropped.
-	Generation uint64
 }
 
 // Outcome says how a call ended.
