--- a/hemlockadmission/property_test.go
+++ b/hemlockadmission/property_test.go
@@ -47,14 +47,14 @@
 	w := &world{t: t, now: start, points: map[string]*point{}, ordered: []string{"1", "2"}}
 	random := rapid.IntRange(0, 1<<20)
 	w.table = hemlockrouting.New("a", func(n int) int { return random.Draw(t, "random") % n })
-	var targets []hemlockrouting.Target
+	var targets []hemlockcall.Target
 	for _, address := range w.ordered {
 		p := &point{}
 		slots := rapid.IntRange(1, 6).Draw(t, "slots")
 		p.controller = New(slots, func(k *Ticket[*call]) { w.decided(p, k) },
 			WithQueue(rapid.IntRange(1, 4).Draw(t, "queue")), switchedOff())
 		w.points[address] = p
-		targets = append(targets, hemlockrouting.Target{Address: address, Zone: "a", Service: "s", Slots: slots,
+		targets = append(targets, hemlockcall.Target{Address: address, Zone: "a", Service: "s", Slots: slots,
 			Ready: true})
 	}
 	w.table.Replace(w.now, targets)
--- a/hemlockbench/simulation.go
+++ b/hemlockbench/simulation.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"hemlockhollow/hemlockcall"
-	"hemlockhollow/hemlockrouting"
 )
 
 // simulation is one run of one case: a house, a scenario, a variant and a seed.
@@ -89,13 +88,13 @@
 func (s *simulation) announce() {
 	last := len(zoneNames) - 1
 	for _, n := range s.nodes {
-		var targets []hemlockrouting.Target
+		var targets []hemlockcall.Target
 		for _, m := range s.nodes {
 			if s.known && (n.zone == last) != (m.zone == last) {
 				continue
 			}
 			service := s.house.Services[m.target.service]
-			targets = append(targets, hemlockrouting.Target{Address: m.address, Zone: zoneNames[m.zone],
+			targets = append(targets, hemlockcall.Target{Address: m.address, Zone: zoneNames[m.zone],
 				Service: service.Name, Slots: service.Slots, Ready: m.target.alive})
 		}
 		n.table.Replace(s.loop.clock(), targets)
--- /dev/null
+++ b/hemlockcall/target.go
@@ -0,0 +1,17 @@
+package hemlockcall
+
+// Target is one back end, known by the address of the node beside it.
+type Target struct {
+	// Address identifies the target.
+	Address string
+	// Zone is the availability zone of the target.
+	Zone string
+	// Service is the service that the target runs.
+	Service string
+	// Slots is the declared number of slots.
+	Slots int
+	// Ready is false while the target is joining or leaving; it then gets no new calls.
+	Ready bool
+	// Generation changes when another process serves the target; 0 where nobody tells.
+	Generation uint64
+}
--- a/hemlocknode/configuration.go
+++ b/hemlocknode/configuration.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 
+	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockconfiguration"
 	"hemlockhollow/hemlockgossip"
 	"hemlockhollow/hemlockmember"
@@ -74,7 +75,7 @@
 	if w.store == nil {
 		return
 	}
-	for pause(ctx, watchInterval) {
+	for hemlockcall.Pause(ctx, watchInterval) {
 		// A node without any configuration asks the platform itself: it may be alone.
 		if w.holder.Current().Version == 0 || w.duties.holds("configuration", watchersPerZone) {
 			w.readHead(ctx)
--- a/hemlocknode/dispatch.go
+++ b/hemlocknode/dispatch.go
@@ -266,16 +266,5 @@
 		return false
 	}
 	d.metrics.attempts.Inc(1)
-	return pause(ctx, rand.N(longestBackoff))
-}
-
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return hemlockcall.Pause(ctx, rand.N(longestBackoff))
 }
--- a/hemlocknode/drain_test.go
+++ b/hemlocknode/drain_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"hemlockhollow/hemlockcall"
 )
 
 // answersOfSize answers with as many bytes as the path says, in pieces; a path of /stream/ has no declared length.
@@ -34,7 +36,7 @@
 			return
 		}
 		size -= n
-		pause(r.Context(), wait)
+		hemlockcall.Pause(r.Context(), wait)
 	}
 }
 
--- a/hemlocknode/seeds.go
+++ b/hemlocknode/seeds.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockmember"
 	"hemlockhollow/platform/hemlockplatform"
 )
@@ -44,7 +45,7 @@
 	}
 	s.write(ctx, s.row(ownSeedRow(s.self)))
 	wait := time.Duration(0)
-	for pause(ctx, wait) {
+	for hemlockcall.Pause(ctx, wait) {
 		if s.alone() {
 			s.read(ctx)
 			wait = seedRetry
--- a/hemlocknode/shutdown.go
+++ b/hemlocknode/shutdown.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockerror"
 )
 
@@ -21,7 +22,7 @@
 	n.announcer.Leave(state.Service, state.Slots)
 	n.peers.Drain()
 	n.callers.Drain()
-	pause(ctx, n.settings.DrainGrace)
+	hemlockcall.Pause(ctx, n.settings.DrainGrace)
 	steps := []func(context.Context) error{
 		n.callers.Shutdown,
 		n.peers.Shutdown,
--- a/hemlocknode/state.go
+++ b/hemlocknode/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hemlockhollow/hemlockadmission"
+	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockclaim"
 	"hemlockhollow/hemlockconfiguration"
 	"hemlockhollow/hemlockmember"
@@ -148,7 +149,7 @@
 
 // run updates the gauges until the context ends.
 func (r *Reporter) run(ctx context.Context) {
-	for pause(ctx, gaugeInterval) {
+	for hemlockcall.Pause(ctx, gaugeInterval) {
 		snapshot := r.server.admission.Snapshot(time.Now())
 		r.metrics.Gauge("configuration_version", float64(r.configuration.Current().Version))
 		r.metrics.Gauge("admission_limit", float64(snapshot.Limit))
--- a/hemlocknode/sweep.go
+++ b/hemlocknode/sweep.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockclaim"
 	"hemlockhollow/hemlockconfiguration"
 )
@@ -30,7 +31,7 @@
 	if s.table == nil {
 		return
 	}
-	for pause(ctx, sweepInterval) {
+	for hemlockcall.Pause(ctx, sweepInterval) {
 		if holders := s.duties.holders("sweep", "", 1); slices.Contains(holders, s.duties.self) {
 			s.sweep(ctx)
 		}
--- a/hemlocknode/targets.go
+++ b/hemlocknode/targets.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockmember"
 	"hemlockhollow/hemlockrouting"
 )
@@ -30,13 +31,13 @@
 	r.seen.Store(version)
 }
 
-func targetsOf(members []hemlockmember.Member) []hemlockrouting.Target {
-	targets := make([]hemlockrouting.Target, 0, len(members))
+func targetsOf(members []hemlockmember.Member) []hemlockcall.Target {
+	targets := make([]hemlockcall.Target, 0, len(members))
 	for _, m := range members {
 		if m.Service == "" || m.State == hemlockmember.Dead {
 			continue
 		}
-		targets = append(targets, hemlockrouting.Target{
+		targets = append(targets, hemlockcall.Target{
 			Address: m.Address,
 			Zone:    m.Zone,
 			Service: m.Service,
--- a/hemlockplacement/table.go
+++ b/hemlockplacement/table.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"hemlockhollow/hemlockcall"
 )
 
 const (
@@ -41,7 +43,7 @@
 }
 
 // Replace takes in a new list of targets. What was learned about a target stays unless another process serves it now.
-func (t *Table) Replace(targets []Target) {
+func (t *Table) Replace(targets []hemlockcall.Target) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	entries := make(map[string]*entry, len(targets))
@@ -77,16 +79,16 @@
 }
 
 // Pick chooses a target that is not among the tried ones and counts the call as in flight until Done.
-func (t *Table) Pick(now time.Time, service string, tried []string) (Target, error) {
+func (t *Table) Pick(now time.Time, service string, tried []string) (hemlockcall.Target, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	g := t.services[service]
 	if g == nil {
-		return Target{}, &Error{Operation: "pick target", Kind: KindNone}
+		return hemlockcall.Target{}, &Error{Operation: "pick target", Kind: KindNone}
 	}
 	e := t.choose(now, g, tried)
 	if e == nil {
-		return Target{}, &Error{Operation: "pick target", Kind: KindNone}
+		return hemlockcall.Target{}, &Error{Operation: "pick target", Kind: KindNone}
 	}
 	e.inFlight++
 	return e.target, nil
--- a/hemlockplacement/table_test.go
+++ b/hemlockplacement/table_test.go
@@ -10,15 +10,15 @@
 
 var start = time.Unix(1000, 0)
 
-func newTable(targets ...Target) *Table {
+func newTable(targets ...hemlockcall.Target) *Table {
 	random := rand.New(rand.NewPCG(1, 2))
 	t := New("a", random.IntN)
 	t.Replace(targets)
 	return t
 }
 
-func target(address, zone string) Target {
-	return Target{Address: address, Zone: zone, Service: "s", Slots: 10, Ready: true}
+func target(address, zone string) hemlockcall.Target {
+	return hemlockcall.Target{Address: address, Zone: zone, Service: "s", Slots: 10, Ready: true}
 }
 
 // pick picks and ends a call at once, with the service time that the target has.
@@ -118,7 +118,7 @@
 		}
 		again := target("one", "a")
 		again.Generation = 2
-		table.Replace([]Target{again})
+		table.Replace([]hemlockcall.Target{again})
 		if _, err := table.Pick(start, "s", nil); err != nil {
 			t.Error(err)
 		}
--- a/hemlockplacement/target.go
+++ b/hemlockplacement/target.go
@@ -19,22 +19,6 @@
 // Error is the error type of this package.
 type Error = hemlockerror.Error[Kind]
 
-// Target is one back end, known by the address of the node beside it.
-type Target struct {
-	// Address identifies the target.
-	Address string
-	// Zone is the availability zone of the target.
-	Zone string
-	// Service is the service that the target runs.
-	Service string
-	// Slots is the declared number of slots.
-	Slots int
-	// Ready is false while the target is joining or leaving; it then gets no new calls.
-	Ready bool
-	// Generation changes when another process serves the target; what was learned about the former one is dropped.
-	Generation uint64
-}
-
 // Outcome says how a call ended.
 type Outcome uint8
 
@@ -88,7 +72,7 @@
 
 // entry is the state of one target. All fields are guarded by the table's mutex.
 type entry struct {
-	target   Target
+	target   hemlockcall.Target
 	inFlight int // calls of this node that are not done
 	leaving  bool
 
--- a/hemlockrelay/fixture_test.go
+++ b/hemlockrelay/fixture_test.go
@@ -70,9 +70,9 @@
 // newTestEntry returns an entry whose service has a target at each address of the links.
 func newTestEntry(links fakeLinks) *Entry {
 	table := hemlockplacement.New("a", func(int) int { return 0 })
-	var targets []hemlockplacement.Target
+	var targets []hemlockcall.Target
 	for address := range links {
-		targets = append(targets, hemlockplacement.Target{Address: address, Zone: "a", Service: "s", Slots: 10, Ready: true})
+		targets = append(targets, hemlockcall.Target{Address: address, Zone: "a", Service: "s", Slots: 10, Ready: true})
 	}
 	table.Replace(targets)
 	budget := hemlockretry.NewSharedBudget(hemlockretry.Allowance{Ratio: 0.2, Slack: 100, Window: time.Second})
--- a/hemlockrouting/property_test.go
+++ b/hemlockrouting/property_test.go
@@ -22,11 +22,11 @@
 	return Without(Mechanism(*without))
 }
 
-func targets(zones []string, each, slots int) []Target {
-	var all []Target
+func targets(zones []string, each, slots int) []hemlockcall.Target {
+	var all []hemlockcall.Target
 	for _, zone := range zones {
 		for i := range each {
-			all = append(all, Target{Address: fmt.Sprintf("%s-%d", zone, i), Zone: zone, Service: "s", Slots: slots,
+			all = append(all, hemlockcall.Target{Address: fmt.Sprintf("%s-%d", zone, i), Zone: zone, Service: "s", Slots: slots,
 				Ready: true})
 		}
 	}
--- a/hemlockrouting/table.go
+++ b/hemlockrouting/table.go
@@ -45,7 +45,7 @@
 
 // Replace takes in a new list of targets. The state of targets that stay is kept; a target that was not ready and is
 // ready now starts afresh, because it is another process.
-func (t *Table) Replace(_ time.Time, targets []Target) {
+func (t *Table) Replace(_ time.Time, targets []hemlockcall.Target) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	entries := make(map[string]*entry, len(targets))
@@ -152,16 +152,16 @@
 }
 
 // Pick chooses a target that is not among the tried ones and counts the call as in flight until Done.
-func (t *Table) Pick(now time.Time, service string, p hemlockcall.Priority, tried []string) (Target, error) {
+func (t *Table) Pick(now time.Time, service string, p hemlockcall.Priority, tried []string) (hemlockcall.Target, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	g := t.services[service]
 	if g == nil {
-		return Target{}, &Error{Operation: "pick target", Kind: KindNone}
+		return hemlockcall.Target{}, &Error{Operation: "pick target", Kind: KindNone}
 	}
 	e, kind := t.choose(now, g, p, tried)
 	if e == nil {
-		return Target{}, &Error{Operation: "pick target", Kind: kind}
+		return hemlockcall.Target{}, &Error{Operation: "pick target", Kind: kind}
 	}
 	e.inFlight++
 	return e.target, nil
--- a/hemlockrouting/table_test.go
+++ b/hemlockrouting/table_test.go
@@ -13,7 +13,7 @@
 // Guards against a call that is sent to a target again after it failed there.
 func TestPickPassesOverTriedTargets(t *testing.T) {
 	table := New("a", func(int) int { return 0 })
-	table.Replace(start, []Target{{Address: "1", Zone: "a", Service: "s", Slots: 5, Ready: true}})
+	table.Replace(start, []hemlockcall.Target{{Address: "1", Zone: "a", Service: "s", Slots: 5, Ready: true}})
 	if _, err := table.Pick(start, "s", hemlockcall.Critical, nil); err != nil {
 		t.Fatal(err)
 	}
--- a/hemlockrouting/target.go
+++ b/hemlockrouting/target.go
@@ -22,20 +22,6 @@
 // Error is the error type of this package.
 type Error = hemlockerror.Error[Kind]
 
-// Target is one back end and the address of the node beside it.
-type Target struct {
-	// Address identifies the target.
-	Address string
-	// Zone is the availability zone of the target.
-	Zone string
-	// Service is the service that the target runs.
-	Service string
-	// Slots is the declared number of slots.
-	Slots int
-	// Ready is false while the target is joining or leaving; it then gets no new calls.
-	Ready bool
-}
-
 // Outcome says how a call ended.
 type Outcome uint8
 
@@ -66,7 +52,7 @@
 
 // entry is the state of one target. All fields are guarded by the table's mutex.
 type entry struct {
-	target   Target
+	target   hemlockcall.Target
 	inFlight int // calls of this node that are not done
 	leaving  bool
 
