Make a relayed call cheaper: header lines as one text, fewer contexts, one timer for all links

Cause: a relayed call made 166 allocations in the whole path (client and target of the benchmark included); each header line was copied four times on its way. Each link with open calls had a timer of its own that fired every 100 ms, so that a host with many links was woken hundreds of times a second. Change: end-to-end headers travel as the text that HTTP/1.1 writes. The context of a call from a peer ends with its time, so that the gate needs no second one. The first attempt of a hedged call runs in the caller's goroutine. One timer looks at all links. When both attempts of a hedged call fail and one of them may have run, the call counts as one that may have run.

--- a/hemlockcall/relay.go
+++ b/hemlockcall/relay.go
@@ -5,9 +5,13 @@
 	"time"
 )
 
-// Field is one end-to-end header line.
-type Field struct {
-	Name, Value string
+// HeaderLines are the end-to-end headers of a message as HTTP/1.1 writes them, each line with its end. Kept as one text,
+// they cost one allocation on each host of the way.
+type HeaderLines string
+
+// With returns the lines with one more behind them.
+func (h HeaderLines) With(name, value string) HeaderLines {
+	return h + HeaderLines(name+": "+value+"\r\n")
 }
 
 // Relay is a call with its whole body, as it travels from the entry to the node beside the target.
@@ -20,8 +24,8 @@
 	Origin string
 	// Method, Host and Path are passed on unchanged; Path holds the query.
 	Method, Host, Path string
-	// Fields are the end-to-end headers in their order.
-	Fields []Field
+	// Header holds the end-to-end headers.
+	Header HeaderLines
 	// Body is the whole request body.
 	Body []byte
 	// Remaining is the time left at the moment at which the call is handed over.
@@ -58,8 +62,8 @@
 type RelayAnswer struct {
 	// Status is the status of the target.
 	Status int
-	// Fields are the end-to-end headers in their order.
-	Fields []Field
+	// Header holds the end-to-end headers.
+	Header HeaderLines
 	// Body is complete and checked.
 	Body []byte
 	// Feedback is what the node beside the target reports.
--- a/hemlockpeer/carrier.go
+++ b/hemlockpeer/carrier.go
@@ -93,7 +93,7 @@
 func (c *carrier) start(ctx context.Context, number uint64, head *hemlockwire.RelayRequest, body []byte) {
 	call := decodeRelay(head)
 	call.Body = body
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, call.Remaining)
 	c.mutex.Lock()
 	c.running[number] = cancel
 	c.mutex.Unlock()
--- a/hemlockpeer/link.go
+++ b/hemlockpeer/link.go
@@ -47,11 +47,13 @@
 	asked  bool
 	// retired links take no new calls; calls that must not be repeated may still be answered on them.
 	retired bool
-	watcher *time.Timer
+	watch   *watch
+	// watched is set while the watch looks at this link.
+	watched bool
 }
 
-func newLink(stop context.CancelFunc) *link {
-	return &link{out: newOutbox(), stop: stop, calls: map[uint64]*pending{}, heard: time.Now()}
+func newLink(w *watch, stop context.CancelFunc) *link {
+	return &link{out: newOutbox(), stop: stop, calls: map[uint64]*pending{}, heard: time.Now(), watch: w}
 }
 
 // receive takes answers until the stream breaks.
@@ -137,19 +139,21 @@
 		l.heard = time.Now()
 	}
 	l.calls[l.number] = call
-	if l.watcher == nil {
-		l.watcher = time.AfterFunc(linkSilence, l.watch)
+	if !l.watched {
+		l.watched = true
+		l.watch.add(l)
 	}
 	return l.number, call, true
 }
 
-// watch asks a silent peer whether it is alive, and retires the link when no answer comes.
-func (l *link) watch() {
+// look asks a silent peer whether it is alive, and retires the link when no answer comes. It returns false when no call is
+// open.
+func (l *link) look() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if len(l.calls) == 0 {
-		l.watcher = nil
-		return
+		l.watched = false
+		return false
 	}
 	silence := time.Since(l.heard)
 	switch {
@@ -159,7 +163,7 @@
 		l.asked = true
 		_ = l.out.put(&hemlockwire.Parcel{Probe: probeAsk}) // a full or closed outbox ends in the silence above
 	}
-	l.watcher.Reset(linkSilence / 3)
+	return true
 }
 
 // retire is called with the lock held. Calls that may be repeated end at once, so that they can be sent elsewhere; the
--- a/hemlockpeer/link_test.go
+++ b/hemlockpeer/link_test.go
@@ -37,14 +37,14 @@
 
 func relayCall(body []byte) *hemlockcall.Relay {
 	return &hemlockcall.Relay{ID: "id\xff", Service: "s", Origin: "o", Method: "POST", Host: "h", Path: "/a?b=c",
-		Fields: []hemlockcall.Field{{Name: "X", Value: "\xfe"}}, Body: body, Remaining: time.Second,
+		Header: "X: \xfe\r\n", Body: body, Remaining: time.Second,
 		Objective: 300 * time.Millisecond, Priority: hemlockcall.Critical, Class: "c", Depth: 1, Repeatable: true,
 		Fingerprint: 7}
 }
 
 func TestLinkCarriesCallsSideBySide(t *testing.T) {
 	address := relayServer(t, func(_ context.Context, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
-		return &hemlockcall.RelayAnswer{Status: 201, Fields: call.Fields, Body: call.Body, Service: time.Millisecond,
+		return &hemlockcall.RelayAnswer{Status: 201, Header: call.Header, Body: call.Body, Service: time.Millisecond,
 			Feedback: hemlockcall.Feedback{InFlight: 3, Limit: 9}}, nil
 	})
 	links := NewLinks()
@@ -62,7 +62,7 @@
 				return
 			}
 			if answer.Status != 201 || !bytes.Equal(answer.Body, body) || answer.Feedback.Limit != 9 ||
-				len(answer.Fields) != 1 || answer.Fields[0].Value != "\xfe" {
+				answer.Header != "X: \xfe\r\n" {
 				t.Errorf("answer with %d of %d bytes, %+v", len(answer.Body), len(body), answer.Feedback)
 			}
 		}()
--- a/hemlockpeer/links.go
+++ b/hemlockpeer/links.go
@@ -23,6 +23,7 @@
 // before that of a peerLink.
 type Links struct {
 	settings settings
+	watch    *watch
 
 	mutex sync.Mutex
 	peers map[string]*peerLink
@@ -41,12 +42,12 @@
 
 // NewLinks returns links without connections.
 func NewLinks(options ...Option) *Links {
-	return &Links{settings: newSettings(options), peers: map[string]*peerLink{}}
+	return &Links{settings: newSettings(options), watch: newWatch(), peers: map[string]*peerLink{}}
 }
 
 // Relay carries a call out at the node beside the target with the given address.
 func (l *Links) Relay(ctx context.Context, address string, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
-	current, err := l.peer(address).get(ctx, l.settings, address)
+	current, err := l.peer(address).get(ctx, l, address)
 	if err != nil {
 		return nil, hemlockcall.Refuse(contextReason(ctx, hemlockcall.ReasonConnection), err.Error())
 	}
@@ -84,7 +85,7 @@
 }
 
 // get returns the current link, waits for the attempt under way, or opens a connection.
-func (p *peerLink) get(ctx context.Context, s settings, address string) (*link, error) {
+func (p *peerLink) get(ctx context.Context, all *Links, address string) (*link, error) {
 	for {
 		p.mutex.Lock()
 		if p.current != nil && p.current.usable() {
@@ -98,7 +99,7 @@
 				return nil, p.failure
 			}
 			p.opening = make(chan struct{})
-			go p.open(s, address, p.opening)
+			go p.open(all, address, p.opening)
 		}
 		opening := p.opening
 		p.mutex.Unlock()
@@ -111,8 +112,8 @@
 }
 
 // open connects in a goroutine of its own: the attempt serves all calls that wait, also when its first caller leaves.
-func (p *peerLink) open(s settings, address string, opened chan struct{}) {
-	fresh, err := connectLink(s, address)
+func (p *peerLink) open(all *Links, address string, opened chan struct{}) {
+	fresh, err := all.connect(address)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.current, p.failure, p.failedAt = fresh, err, time.Now()
@@ -120,7 +121,8 @@
 	close(opened)
 }
 
-func connectLink(s settings, address string) (*link, error) {
+func (l *Links) connect(address string) (*link, error) {
+	s := l.settings
 	opening, cancelDial := context.WithTimeout(context.Background(), s.connectTimeout)
 	defer cancelDial()
 	transport, err := s.dial(opening, "tcp", address)
@@ -138,22 +140,22 @@
 		_ = connection.Close()
 		return nil, hemlockerror.Wrap("connect", KindConnection, err)
 	}
-	l := newLink(func() {
+	fresh := newLink(l.watch, func() {
 		cancel()
 		_ = transport.Close()
 	})
 	go func() {
-		if l.out.run(stream, ctx.Done()) != nil {
-			l.stop()
+		if fresh.out.run(stream, ctx.Done()) != nil {
+			fresh.stop()
 		}
 	}()
 	go func() {
-		err := l.receive(stream)
-		l.broken("the connection to the peer broke: " + err.Error())
-		l.stop()
+		err := fresh.receive(stream)
+		fresh.broken("the connection to the peer broke: " + err.Error())
+		fresh.stop()
 		_ = connection.Close()
 	}()
-	return l, nil
+	return fresh, nil
 }
 
 // Close ends all connections.
--- a/hemlockpeer/parcel.go
+++ b/hemlockpeer/parcel.go
@@ -16,27 +16,11 @@
 	probeAnswer = 2
 )
 
-func encodeFields(fields []hemlockcall.Field) [][]byte {
-	flat := make([][]byte, 0, 2*len(fields))
-	for _, f := range fields {
-		flat = append(flat, []byte(f.Name), []byte(f.Value))
-	}
-	return flat
-}
-
-func decodeFields(flat [][]byte) []hemlockcall.Field {
-	fields := make([]hemlockcall.Field, 0, len(flat)/2)
-	for i := 0; i+1 < len(flat); i += 2 {
-		fields = append(fields, hemlockcall.Field{Name: string(flat[i]), Value: string(flat[i+1])})
-	}
-	return fields
-}
-
 func encodeRelay(call *hemlockcall.Relay) *hemlockwire.RelayRequest {
 	return &hemlockwire.RelayRequest{
 		Id: []byte(call.ID), Service: call.Service, Origin: call.Origin, Method: []byte(call.Method),
 		Host: []byte(call.Host), Path: []byte(call.Path),
-		Fields: encodeFields(call.Fields), RemainingMicroseconds: microseconds(call.Remaining),
+		Header: []byte(call.Header), RemainingMicroseconds: microseconds(call.Remaining),
 		Priority: uint32(call.Priority), Class: call.Class, Depth: uint32(call.Depth), Repeatable: call.Repeatable,
 		Fingerprint: call.Fingerprint, ObjectiveMicroseconds: microseconds(call.Objective),
 	}
@@ -45,7 +29,7 @@
 func decodeRelay(wire *hemlockwire.RelayRequest) *hemlockcall.Relay {
 	return &hemlockcall.Relay{
 		ID: string(wire.GetId()), Service: wire.GetService(), Origin: wire.GetOrigin(), Method: string(wire.GetMethod()),
-		Host: string(wire.GetHost()), Path: string(wire.GetPath()), Fields: decodeFields(wire.GetFields()),
+		Host: string(wire.GetHost()), Path: string(wire.GetPath()), Header: hemlockcall.HeaderLines(wire.GetHeader()),
 		Remaining:   fromMicroseconds(wire.GetRemainingMicroseconds()),
 		Priority:    hemlockcall.Priority(min(wire.GetPriority(), uint32(hemlockcall.Critical))),
 		Class:       wire.GetClass(),
@@ -58,7 +42,7 @@
 
 func encodeRelayAnswer(answer *hemlockcall.RelayAnswer) *hemlockwire.RelayAnswer {
 	return &hemlockwire.RelayAnswer{
-		Status: uint32(answer.Status), Fields: encodeFields(answer.Fields), Feedback: encodeFeedback(answer.Feedback),
+		Status: uint32(answer.Status), Header: []byte(answer.Header), Feedback: encodeFeedback(answer.Feedback),
 		ServiceMicroseconds: microseconds(answer.Service),
 	}
 }
@@ -69,7 +53,7 @@
 		return nil, err
 	}
 	return &hemlockcall.RelayAnswer{
-		Status: int(wire.GetStatus()), Fields: decodeFields(wire.GetFields()), Feedback: feedback,
+		Status: int(wire.GetStatus()), Header: hemlockcall.HeaderLines(wire.GetHeader()), Feedback: feedback,
 		Service: fromMicroseconds(wire.GetServiceMicroseconds()),
 	}, nil
 }
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -96,8 +96,12 @@
 // Relay implements hemlockcall.Relayer: it runs the call at the target, or refuses it.
 func (g *Gate) Relay(ctx context.Context, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
 	arrival := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, arrival.Add(call.Remaining))
-	defer cancel()
+	// Calls of other nodes come with a context that ends with their time; another one would only cost a timer.
+	if end, ok := ctx.Deadline(); !ok || end.After(arrival.Add(call.Remaining)) {
+		limited, cancel := context.WithDeadline(ctx, arrival.Add(call.Remaining))
+		defer cancel()
+		ctx = limited
+	}
 	ticket, err := g.admit(ctx, arrival, call)
 	if err != nil {
 		refusal := hemlockcall.AsRefusal(err)
--- a/hemlockrelay/hedge.go
+++ b/hemlockrelay/hedge.go
@@ -73,47 +73,51 @@
 	return max(hedgeLeast, time.Duration((c.mean+hedgeDeviations*c.deviation)*float64(time.Second))), true
 }
 
-// attempt is the end of one attempt.
+// attempt is the end of a second attempt; both fields are nil when there was none.
 type attempt struct {
 	answer  *hemlockcall.RelayAnswer
 	refusal *hemlockcall.Refusal
 }
 
 // sendHedged makes one attempt, and a second one at another target beside it when the answer is far later than usual:
-// some targets run a request and lose its answer, which nobody says. The first answer counts.
+// some targets run a request and lose its answer, which nobody says. The first answer counts. The first attempt runs in the
+// caller's goroutine, for nearly all calls need no second one.
 func (a *attempts) sendHedged(ctx context.Context, address string) (*hemlockcall.RelayAnswer, *hemlockcall.Refusal) {
 	wait, ok := a.entry.latency.hedgeAfter(a.call.Class)
 	if !ok || !a.call.Repeatable || a.reached+1 >= a.most || time.Until(a.deadline) < 2*wait {
 		return a.send(ctx, address)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	ends := make(chan attempt, 2) // room for both, so that the slower one does not block
-	start := func(address string) {
-		answer, refusal := a.send(ctx, address)
-		ends <- attempt{answer: answer, refusal: refusal}
+	first, overtake := context.WithCancel(ctx)
+	defer overtake()
+	second := make(chan attempt, 1) // room for its end, so that it does not block when nobody waits for it
+	timer := time.AfterFunc(wait, func() { second <- a.sendSecond(ctx, overtake) })
+	answer, refusal := a.send(first, address)
+	if timer.Stop() {
+		return answer, refusal
 	}
-	go start(address)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case end := <-ends:
-		return end.answer, end.refusal
-	case <-timer.C:
+	if refusal == nil {
+		a.overtaken.Store(true) // the end of the call cancels the second attempt
+		return answer, nil
 	}
-	running := 1
-	if second, ok := a.second(); ok {
-		go start(second)
-		running++
+	end := <-second
+	if end.answer == nil && (end.refusal == nil || refusal.Verdict == hemlockcall.Unknown) {
+		return nil, refusal // the call may have run, whatever became of the second attempt
 	}
-	var last attempt
-	for ; running > 0; running-- {
-		if last = <-ends; last.refusal == nil {
-			a.overtaken.Store(true)
-			break
-		}
+	return end.answer, end.refusal
+}
+
+// sendSecond makes an attempt beside the first one, if it may. Its answer ends the first one.
+func (a *attempts) sendSecond(ctx context.Context, overtake context.CancelFunc) attempt {
+	address, ok := a.second()
+	if !ok {
+		return attempt{}
+	}
+	answer, refusal := a.send(ctx, address)
+	if refusal == nil {
+		a.overtaken.Store(true)
+		overtake()
 	}
-	return last.answer, last.refusal
+	return attempt{answer: answer, refusal: refusal}
 }
 
 // second returns the target of an attempt beside the first one, if there is one and the shared budget allows it.
