Keep repeats for the moment in which a service fails, send a call again that was not run

The budget of repeats had no savings, and it fell with the requests: trees that end at their first call send a fifth of the calls. A call that two targets had refused was given up, though it may be sent to the same two again. Change: the budget keeps three seconds of earnings, earns by the requests of the windows before as the allowance counts them, and less important calls leave a part to more important ones. A call that its target did not run is sent again, to no more targets than the route allows and at most four times. Ruled out: a larger share of the allowance; repeats at several levels of a call graph add up at the deepest service.

--- a/hemlockplacement/table.go
+++ b/hemlockplacement/table.go
@@ -94,6 +94,19 @@
 	return e.target, nil
 }
 
+// Take chooses a target by its address, for one more attempt, and counts the call as in flight until Done. It returns false
+// where the target takes no calls.
+func (t *Table) Take(address string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.entries[address]
+	if e == nil || !e.eligible(nil) {
+		return false
+	}
+	e.inFlight++
+	return true
+}
+
 // Done takes in the end of a picked call.
 func (t *Table) Done(now time.Time, address string, r Result) {
 	t.mutex.Lock()
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,9 @@
 const (
 	// reroutes bounds how often a call that did not run is offered to another target.
 	reroutes = 3
+	// mostSends bounds how often a call is sent to targets. Where all targets of a service refuse half of their calls at
+	// random, the fourth one finds a target that takes it for 15 calls in 16.
+	mostSends = 4
 	// leastTime is the shortest time for which another attempt is worth while: a round trip between zones and a short run.
 	leastTime = 15 * time.Millisecond
 	// peerMargin is how much earlier than this node another one gives a call up, so that its refusal arrives in time.
@@ -117,8 +121,12 @@
 	most int
 	// tried are the addresses that were tried.
 	tried []string
-	// reached counts the attempts that may have reached a target.
-	reached int
+	// reached are the addresses at which the call may have reached the target; at most as many as the route allows.
+	reached []string
+	// sends counts the attempts that may have reached a target.
+	sends int
+	// again is the last address at which the target said that it has not run the call; empty before.
+	again string
 	// unknown is the first refusal whose outcome is unknown; whatever follows, the call may have run.
 	unknown *hemlockcall.Refusal
 	// overtaken is set once a second attempt beside the first one has brought the answer.
@@ -128,25 +136,36 @@
 func (a *attempts) run(ctx context.Context) (*hemlockcall.RelayAnswer, error) {
 	a.entry.budget.Earn(time.Now(), a.call.Service)
 	for {
-		target, err := a.entry.table.Pick(time.Now(), a.call.Service, a.tried)
-		if err != nil {
+		address, ok := a.next(time.Now())
+		if !ok {
 			if len(a.tried) == 0 {
 				a.entry.monitor.Missing(time.Now())
 			}
 			return nil, a.ended(hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "no target is ready"))
 		}
-		a.tried = append(a.tried, target.Address)
-		answer, refusal := a.sendHedged(ctx, target.Address)
+		answer, refusal := a.sendHedged(ctx, address)
 		if refusal == nil {
 			return answer, nil
 		}
-		if !a.mayRepeat(ctx, refusal) {
+		if !a.mayRepeat(ctx, address, refusal) {
 			return nil, a.ended(refusal)
 		}
-		a.entry.observer.Repeated(a.call, target.Address, refusal, len(a.tried))
+		a.entry.observer.Repeated(a.call, address, refusal, len(a.tried))
 	}
 }
 
+// next chooses a target that was not tried, while the call may reach a further one. Then it is one that did not run the
+// call: targets that refuse at random may take it the next time.
+func (a *attempts) next(now time.Time) (string, bool) {
+	if len(a.reached) < a.most {
+		if target, err := a.entry.table.Pick(now, a.call.Service, a.tried); err == nil {
+			a.tried = append(a.tried, target.Address)
+			return target.Address, true
+		}
+	}
+	return a.again, a.again != "" && a.entry.table.Take(a.again)
+}
+
 // send makes one attempt and reports its end to the routing table.
 func (a *attempts) send(ctx context.Context, address string) (*hemlockcall.RelayAnswer, *hemlockcall.Refusal) {
 	started := time.Now()
@@ -207,7 +226,7 @@
 }
 
 // mayRepeat decides whether another target is tried after a refusal.
-func (a *attempts) mayRepeat(ctx context.Context, refusal *hemlockcall.Refusal) bool {
+func (a *attempts) mayRepeat(ctx context.Context, address string, refusal *hemlockcall.Refusal) bool {
 	if ctx.Err() != nil || time.Until(a.deadline) < leastTime {
 		return false
 	}
@@ -218,16 +237,27 @@
 		return len(a.tried) <= reroutes
 	}
 	// The call reached a target: one more arrival draws on the budget that all nodes share.
-	a.reached++
-	if refusal.Verdict == hemlockcall.Unknown {
-		if !a.call.Repeatable {
-			return false
-		}
-		if a.unknown == nil {
-			a.unknown = refusal
-		}
+	a.reach(address)
+	switch {
+	case refusal.Verdict != hemlockcall.Unknown:
+		a.again = address
+	case !a.call.Repeatable:
+		return false
+	case a.unknown == nil:
+		a.unknown = refusal
+	}
+	if a.sends >= mostSends || len(a.reached) >= a.most && a.again == "" {
+		return false
+	}
+	return a.entry.budget.Spend(time.Now(), a.call.Service, a.call.Priority)
+}
+
+// reach notes that the call may have reached the target at an address.
+func (a *attempts) reach(address string) {
+	a.sends++
+	if !slices.Contains(a.reached, address) {
+		a.reached = append(a.reached, address)
 	}
-	return a.reached < a.most && a.entry.budget.Spend(time.Now(), a.call.Service)
 }
 
 // ended returns the final refusal. A call of which one attempt may have run is not reported as not run.
--- a/hemlockrelay/entry_test.go
+++ b/hemlockrelay/entry_test.go
@@ -121,3 +121,52 @@
 		}
 	})
 }
+
+// sheds returns a target that refuses its first calls as not run.
+func sheds(first int) *fakeTarget {
+	return &fakeTarget{answer: func(_ context.Context, number int, _ *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+		if number <= first {
+			return nil, reachedRefusal()
+		}
+		return ok(), nil
+	}}
+}
+
+// The load when all targets of a service refuse half of their calls at random: the call is refused by each target that it
+// may reach, and the next call would be taken.
+//
+// Guards against a tree that fails though a target has not run its call and would take it now, and against more targets
+// than the route allows.
+func TestEntrySendsARefusedCallAgain(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		links      fakeLinks
+		repeatable bool
+		answered   bool
+		sends      int
+	}{
+		{"to a target that refused it", fakeLinks{"a": sheds(1), "b": sheds(1)}, true, true, 3},
+		{"also when it must not be repeated", fakeLinks{"a": sheds(1), "b": sheds(1)}, false, true, 3},
+		{"to the only target", fakeLinks{"a": sheds(2)}, true, true, 3},
+		{"not for ever", fakeLinks{"a": sheds(9), "b": sheds(9)}, true, false, mostSends},
+		{"not to a third target", fakeLinks{"a": sheds(9), "b": sheds(9), "c": sheds(9)}, true, false, mostSends},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			call := newCall()
+			call.Repeatable = c.repeatable
+			const attempts = 2
+			_, err := newTestEntry(c.links).Relay(t.Context(), call, attempts)
+			if (err == nil) != c.answered {
+				t.Errorf("error %v", err)
+			}
+			sends, reached := 0, 0
+			for _, target := range c.links {
+				sends += target.count()
+				reached += min(target.count(), 1)
+			}
+			if sends != c.sends || reached > attempts {
+				t.Errorf("%d calls at %d targets, want %d at %d at the most", sends, reached, c.sends, attempts)
+			}
+		})
+	}
+}
--- a/hemlockrelay/hedge.go
+++ b/hemlockrelay/hedge.go
@@ -84,7 +84,7 @@
 // caller's goroutine, for nearly all calls need no second one.
 func (a *attempts) sendHedged(ctx context.Context, address string) (*hemlockcall.RelayAnswer, *hemlockcall.Refusal) {
 	wait, ok := a.entry.latency.hedgeAfter(a.call.Class)
-	if !ok || !a.call.Repeatable || a.reached+1 >= a.most || time.Until(a.deadline) < 2*wait {
+	if !ok || !a.call.Repeatable || len(a.reached)+1 >= a.most || time.Until(a.deadline) < 2*wait {
 		return a.send(ctx, address)
 	}
 	first, overtake := context.WithCancel(ctx)
@@ -130,12 +130,12 @@
 	if err != nil {
 		return "", false
 	}
-	if !a.entry.budget.Spend(now, a.call.Service) {
+	if !a.entry.budget.Spend(now, a.call.Service, a.call.Priority) {
 		a.entry.table.Drop(target.Address)
 		return "", false
 	}
 	a.tried = append(a.tried, target.Address)
-	a.reached++
+	a.reach(target.Address)
 	a.entry.observer.Repeated(a.call, target.Address, hemlockcall.Doubt(hemlockcall.ReasonTarget, "the answer is late"),
 		len(a.tried))
 	return target.Address, true
--- a/hemlockretry/shared.go
+++ b/hemlockretry/shared.go
@@ -1,8 +1,12 @@
 package hemlockretry
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"time"
+
+	"hemlockhollow/hemlockcall"
 )
 
 const (
@@ -12,15 +16,26 @@
 	// shareOfSlack is the part of the slack that all nodes use in a window, for the same reason; a repeat of the first
 	// level can become several at the deepest one.
 	shareOfSlack = 0.2
+	// savedTime is how long the earnings of a calm time are kept: with them a fault that strikes all targets of a service at
+	// once is bridged for seconds. All that is saved and earned in one window stays within 0.6 of the allowed ratio.
+	savedTime = 3 * time.Second
+	// rateTime is the time constant of the present rate of first requests; several of them fit into a window.
+	rateTime = 3 * time.Second
+	// halves is how many half windows the rate of first requests is remembered.
+	halves = 2
 )
 
+// kept is the part of the savings that calls of a priority leave to more important ones.
+var kept = [hemlockcall.Priorities]float64{hemlockcall.Sheddable: 0.5, hemlockcall.Important: 0.2}
+
 // Allowance says how many repeats a service may get from all nodes together.
 type Allowance struct {
 	// Ratio is the number of repeats for each first request.
 	Ratio float64
 	// Slack is the number of repeats in each window beyond the ratio.
 	Slack float64
-	// Window is the time over which repeats are counted; above zero.
+	// Window is the time over which repeats are counted; above zero. The first requests are those of the same window, of the
+	// one before or of the one half a window before, whichever has most: when a service fails, fewer are sent to it.
 	Window time.Duration
 }
 
@@ -39,6 +54,30 @@
 type earned struct {
 	tokens float64
 	filled time.Time
+	// recent is the number of first requests, faded with rateTime.
+	recent float64
+	// half counts the first requests of the half window that began last, former those of the ones before.
+	half   float64
+	former [halves]float64
+	began  time.Time
+}
+
+// follow brings the half windows up to now.
+func (e *earned) follow(now time.Time, length time.Duration) {
+	for steps := 0; now.Sub(e.began) >= length; steps++ {
+		if steps > halves {
+			e.began = now // all that was counted is older than what is remembered
+			return
+		}
+		copy(e.former[1:], e.former[:])
+		e.former[0], e.half = e.half, 0
+		e.began = e.began.Add(length)
+	}
+}
+
+// rates are the numbers of first requests a second, now and in the better one of the half windows before.
+func (e *earned) rates(length time.Duration) (now, former float64) {
+	return e.recent / rateTime.Seconds(), slices.Max(e.former[:]) / length.Seconds()
 }
 
 // NewSharedBudget returns the budget of one node among a single one; see SetNodes.
@@ -58,34 +97,44 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	e := b.refill(now, service)
-	e.tokens = min(e.tokens+b.allowance.Ratio*shareOfRatio, b.most())
+	e.recent++
+	e.half++
+	e.tokens = min(e.tokens+b.allowance.Ratio*shareOfRatio, b.most(e))
 }
 
-// Spend takes one repeat to a service and reports whether there was one.
-func (b *SharedBudget) Spend(now time.Time, service string) bool {
+// Spend takes one repeat to a service and reports whether there was one for a call of the priority.
+func (b *SharedBudget) Spend(now time.Time, service string, priority hemlockcall.Priority) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	e := b.refill(now, service)
-	if e.tokens < 1 {
+	if e.tokens < 1+kept[priority]*(b.most(e)-1) {
 		return false
 	}
 	e.tokens--
 	return true
 }
 
-// most bounds what can be saved up, so that a burst of repeats after a calm time stays within the slack.
-func (b *SharedBudget) most() float64 {
-	return max(1, b.allowance.Slack*shareOfSlack/float64(b.nodes))
+// most bounds what can be saved up.
+func (b *SharedBudget) most(e *earned) float64 {
+	slack := b.allowance.Slack * shareOfSlack / float64(b.nodes)
+	rate, former := e.rates(b.allowance.Window / halves)
+	return max(1, slack, b.allowance.Ratio*shareOfRatio*max(rate, former)*savedTime.Seconds())
 }
 
 func (b *SharedBudget) refill(now time.Time, service string) *earned {
 	e := b.services[service]
 	if e == nil {
-		e = &earned{filled: now}
+		e = &earned{filled: now, began: now}
 		b.services[service] = e
 	}
-	rate := b.allowance.Slack * shareOfSlack / float64(b.nodes) / b.allowance.Window.Seconds()
-	e.tokens = min(e.tokens+rate*max(0, now.Sub(e.filled).Seconds()), b.most())
+	passed := max(0, now.Sub(e.filled).Seconds())
+	slack := b.allowance.Slack * shareOfSlack / float64(b.nodes) / b.allowance.Window.Seconds()
+	e.follow(now, b.allowance.Window/halves)
+	e.recent *= math.Exp(-passed / rateTime.Seconds())
+	// Requests that do not come any more, but counted in a window before, earn what they did.
+	rate, former := e.rates(b.allowance.Window / halves)
+	missing := b.allowance.Ratio * shareOfRatio * max(0, former-rate)
+	e.tokens = min(e.tokens+(slack+missing)*passed, b.most(e))
 	e.filled = now
 	return e
 }
