--- a/hemlockpressure/valve_test.go
+++ b/hemlockpressure/valve_test.go
@@ -89,3 +89,43 @@
 		t.Errorf("load %.2f two seconds after the last tree", load)
 	}
 }
+
+// The load when a deep service fails nearly all trees: 30 trees a second begin at a node and fail after 300 ms each; later
+// they go well again.
+//
+// Guards against trees that are let in again and again for nothing, and against a class that stays closed afterwards.
+func TestReplayOfAServiceThatFailsAllTrees(t *testing.T) {
+	const rate, took, failing, healed = 30, 300 * time.Millisecond, 8 * time.Second, 4 * time.Second
+	start := time.Unix(1000, 0)
+	m, v := NewMonitor(), NewValve()
+	type end struct {
+		at     time.Time
+		failed bool
+	}
+	var ends []end
+	letIn, after := 0, 0
+	for i := range int((failing + healed).Seconds() * rate) {
+		now := start.Add(time.Duration(i) * time.Second / rate)
+		for len(ends) > 0 && !ends[0].at.After(now) {
+			m.Ended(ends[0].at, "browse", ends[0].failed)
+			ends = ends[1:]
+		}
+		if !v.Admit(now, hemlockcall.Sheddable, m.ForTree(now, "browse").Value) {
+			continue
+		}
+		since := now.Sub(start)
+		ends = append(ends, end{at: now.Add(took), failed: since < failing})
+		switch {
+		case since > 2*time.Second && since < failing:
+			letIn++
+		case since > failing+healed-time.Second:
+			after++
+		}
+	}
+	if most := int((failing - 2*time.Second).Seconds() * rate / 20); letIn > most {
+		t.Errorf("%d trees were let in while all fail, want %d at the most", letIn, most)
+	}
+	if after < rate*9/10 {
+		t.Errorf("%d trees a second were let in three seconds later, want %d", after, rate)
+	}
+}
