--- a/hemlockpressure/pressure.go
+++ b/hemlockpressure/pressure.go
@@ -6,7 +6,6 @@
 package hemlockpressure
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -21,20 +20,9 @@
 	missingAge = 300 * time.Millisecond
 	// missingLoad stands for the load of a missing service: trees that need it fail.
 	missingLoad = 5
-	// treeTime is the time constant of the moving share of failures. treeWeight is the least weight of one tree in it. A
-	// failed tree after a pause weighs at the most failedWeight, so that four in a row are needed to close a class; one that
-	// went well weighs up to passedWeight, so that a closed class opens after one or two.
-	treeTime     = time.Second
-	treeWeight   = 0.08
-	failedWeight = 0.2
-	passedWeight = 0.5
-	// treeHold is how long the share stands without a tree, longer than the pauses between the trees of a class that is
-	// nearly closed; treeFade is the time in which it halves afterwards.
-	treeHold = time.Second
-	treeFade = time.Second
-	// failingLoad stands for the load of a class whose trees all fail. It is below what closes the valve for critical trees:
-	// those are tried on, for one that goes through is worth the work of several that fail.
-	failingLoad = 2.9
+	// treeWeight is the weight of one tree in the moving share of failures, treeFade the time in which it halves without.
+	treeWeight = 0.08
+	treeFade   = time.Second
 	// treeFailing is the share of failures above which trees of a class are taken to lack a service.
 	treeFailing = 0.5
 	// treeClasses bounds the classes that are told apart.
@@ -87,20 +75,7 @@
 
 // value fades with time, so that a class is tried again.
 func (f *failing) value(now time.Time) float64 {
-	idle := max(0, now.Sub(f.at)-treeHold)
-	return f.share / (1 + idle.Seconds()/treeFade.Seconds())
-}
-
-// add takes in one tree.
-func (f *failing) add(now time.Time, failed bool) {
-	sample, most := 0.0, passedWeight
-	if failed {
-		sample, most = 1, failedWeight
-	}
-	passed := max(0, now.Sub(f.at)).Seconds() / treeTime.Seconds()
-	weight := min(max(1-math.Exp(-passed), treeWeight), most)
-	f.share += (sample - f.share) * weight
-	f.at = now
+	return f.share / (1 + now.Sub(f.at).Seconds()/treeFade.Seconds())
 }
 
 // NewMonitor returns a monitor that has heard of no service.
@@ -139,7 +114,12 @@
 		f = &failing{at: now}
 		m.trees[class] = f
 	}
-	f.add(now, failed)
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	f.share = f.value(now) + (sample-f.value(now))*treeWeight
+	f.at = now
 }
 
 // Load is a load with what it stems from.
@@ -157,8 +137,8 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	load := m.highest(now)
-	if f := m.trees[class]; f != nil && f.value(now) > treeFailing && failingLoad*f.value(now) > load.Value {
-		return Load{Value: failingLoad * f.value(now), Cause: "failing trees"}
+	if f := m.trees[class]; f != nil && f.value(now) > treeFailing && missingLoad*f.value(now) > load.Value {
+		return Load{Value: missingLoad * f.value(now), Cause: "failing trees"}
 	}
 	return load
 }
