Look three times before a target whose connection broke counts as alive

Cause: TestGuarantees/crashing-request failed in three of seven runs beside six busy processes: the third call of the killer ran (502, want 503). Traced with the nodes' logs: the connection of the first call broke, the attempt to connect that follows succeeded, for the ending process still had its listening socket open, and 3 s later the target was lost for want of announcements, which records no crash. So the killer had one crash less on record than it caused. Change: the attempt is made three times within half a second; one that fails means a crash. Test: TestEndingTargetIsACrash; without the change: "0 crash records".

--- a/hemlocknode/health.go
+++ b/hemlocknode/health.go
@@ -24,6 +24,10 @@
 	crashProbeTimeout = 200 * time.Millisecond
 )
 
+// crashProbePauses are the pauses before the connection attempts. A process that is ending still accepts connections after
+// the first ones have broken, on a busy host for some milliseconds.
+var crashProbePauses = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}
+
 // TargetHealth is what this node knows of its local target. The target's own announcements, its drain notice and the
 // connections to it decide; its health endpoint is not asked, because it lags or misleads.
 type TargetHealth struct {
@@ -166,10 +170,7 @@
 }
 
 func (h *TargetHealth) probe(address string) {
-	connection, err := net.DialTimeout("tcp", address, crashProbeTimeout)
-	if err == nil {
-		_ = connection.Close()
-	}
+	err := dialRepeatedly(address)
 	h.mutex.Lock()
 	h.probing = false
 	gone := err != nil && h.address == address && h.state != hemlockmember.Joining
@@ -179,6 +180,19 @@
 	}
 }
 
+// dialRepeatedly returns the first error of some connection attempts, or nil when all succeed.
+func dialRepeatedly(address string) error {
+	for _, wait := range crashProbePauses {
+		time.Sleep(wait)
+		connection, err := net.DialTimeout("tcp", address, crashProbeTimeout)
+		if err != nil {
+			return err
+		}
+		_ = connection.Close()
+	}
+	return nil
+}
+
 // lost marks the target as gone. What was in flight at a crash becomes suspect.
 func (h *TargetHealth) lost(why string) {
 	h.changes.Lock()
--- a/hemlocknode/health_test.go
+++ b/hemlocknode/health_test.go
@@ -203,3 +203,28 @@
 		t.Errorf("%d crash records after a planned change", crashes())
 	}
 }
+
+// Guards against a crash that is not recorded, and a request that runs once more than it may, because the process that was
+// ending still accepted the connection by which its node looked.
+func TestEndingTargetIsACrash(t *testing.T) {
+	c := newCluster(t)
+	n := c.node("a", nil)
+	socket := listen(t, 200)
+	if err := n.health.Announce(hemlocktarget.Announcement{Service: "pages", Slots: 8,
+		Address: socket.Addr().String()}); err != nil {
+		t.Fatal(err)
+	}
+	flight := n.health.suspects.Started(7)
+	n.health.suspects.Finished(time.Now(), flight, false)
+	n.health.observe(hemlockcall.Doubt(hemlockcall.ReasonConnection, "EOF"))
+	accepted, err := socket.Accept() // the first attempt succeeds
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = accepted.Close()
+	_ = socket.Close()
+	eventually(t, "the crash is recorded", func() bool { return n.health.State().State != hemlockmember.Ready.String() })
+	if records, _ := n.health.suspects.Counts(); records != 1 {
+		t.Errorf("%d crash records", records)
+	}
+}
