--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hemlockhollow/hemlockcall"
 )
 
 const (
@@ -115,14 +117,7 @@
 
 // work takes the service time; it returns false when the request was cancelled.
 func (t *target) work(ctx context.Context) bool {
-	timer := time.NewTimer(t.duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return hemlockcall.Pause(ctx, t.duration())
 }
 
 func (t *target) duration() time.Duration {
