Let only requests of the last window earn repeats

The budget held the best half window's rate for a whole window after it, and so counted a burst twice. Change: beside the present rate, the requests of the present half window and of the one before count, and nothing older.

--- a/hemlockretry/shared.go
+++ b/hemlockretry/shared.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +20,8 @@
 	savedTime = 3 * time.Second
 	// rateTime is the time constant of the present rate of first requests; several of them fit into a window.
 	rateTime = 3 * time.Second
-	// halves is how many half windows the rate of first requests is remembered.
+	// halves is how many parts of a window are counted apart. The present part and the one before lie within one window, so
+	// that their requests count in each window that holds a repeat of now, or in the one before it.
 	halves = 2
 )
 
@@ -56,28 +56,24 @@
 	filled time.Time
 	// recent is the number of first requests, faded with rateTime.
 	recent float64
-	// half counts the first requests of the half window that began last, former those of the ones before.
-	half   float64
-	former [halves]float64
-	began  time.Time
+	// half counts the first requests of the half window that began last, former those of the one before.
+	half, former float64
+	began        time.Time
 }
 
 // follow brings the half windows up to now.
 func (e *earned) follow(now time.Time, length time.Duration) {
-	for steps := 0; now.Sub(e.began) >= length; steps++ {
-		if steps > halves {
-			e.began = now // all that was counted is older than what is remembered
-			return
-		}
-		copy(e.former[1:], e.former[:])
-		e.former[0], e.half = e.half, 0
-		e.began = e.began.Add(length)
+	switch passed := now.Sub(e.began); {
+	case passed >= halves*length:
+		e.former, e.half, e.began = 0, 0, now
+	case passed >= length:
+		e.former, e.half, e.began = e.half, 0, e.began.Add(length)
 	}
 }
 
-// rates are the numbers of first requests a second, now and in the better one of the half windows before.
-func (e *earned) rates(length time.Duration) (now, former float64) {
-	return e.recent / rateTime.Seconds(), slices.Max(e.former[:]) / length.Seconds()
+// rates are the numbers of first requests a second, now and over the window.
+func (e *earned) rates(window time.Duration) (now, former float64) {
+	return e.recent / rateTime.Seconds(), (e.half + e.former) / window.Seconds()
 }
 
 // NewSharedBudget returns the budget of one node among a single one; see SetNodes.
@@ -117,7 +113,7 @@
 // most bounds what can be saved up.
 func (b *SharedBudget) most(e *earned) float64 {
 	slack := b.allowance.Slack * shareOfSlack / float64(b.nodes)
-	rate, former := e.rates(b.allowance.Window / halves)
+	rate, former := e.rates(b.allowance.Window)
 	return max(1, slack, b.allowance.Ratio*shareOfRatio*max(rate, former)*savedTime.Seconds())
 }
 
@@ -132,7 +128,7 @@
 	e.follow(now, b.allowance.Window/halves)
 	e.recent *= math.Exp(-passed / rateTime.Seconds())
 	// Requests that do not come any more, but counted in a window before, earn what they did.
-	rate, former := e.rates(b.allowance.Window / halves)
+	rate, former := e.rates(b.allowance.Window)
 	missing := b.allowance.Ratio * shareOfRatio * max(0, former-rate)
 	e.tokens = min(e.tokens+(slack+missing)*passed, b.most(e))
 	e.filled = now
