--- a/hemlockcall/refusal.go
+++ b/hemlockcall/refusal.go
@@ -45,6 +45,8 @@
 	ReasonIncomplete    Reason = "incomplete"
 	ReasonTooLarge      Reason = "too-large"
 	ReasonConfiguration Reason = "configuration"
+	// ReasonFault is a panic in the handling of the request.
+	ReasonFault Reason = "fault"
 )
 
 // Refusal is the error of every call that has no answer.
--- a/hemlockgossip/announcer.go
+++ b/hemlockgossip/announcer.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockmember"
 	"hemlockhollow/hemlockpeer"
 	"hemlockhollow/hemlocksuspect"
@@ -104,7 +105,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			a.Send(a.gossip.Tick(now))
+			a.guard(func() { a.Send(a.gossip.Tick(now)) })
 		}
 	}
 }
@@ -115,11 +116,18 @@
 		case <-ctx.Done():
 			return
 		case m := <-a.queue:
-			a.exchange(ctx, m)
+			a.guard(func() { a.exchange(ctx, m) })
 		}
 	}
 }
 
+// guard keeps a message that cannot be handled from ending the process.
+func (a *Announcer) guard(run func()) {
+	if err := hemlockcall.Guard(run); err != nil {
+		a.log.Error(err, "gossip message not handled")
+	}
+}
+
 func (a *Announcer) exchange(ctx context.Context, m hemlockmember.Message) {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
--- a/hemlockpeer/carrier.go
+++ b/hemlockpeer/carrier.go
@@ -64,7 +64,7 @@
 func (c *carrier) take(ctx context.Context, p *hemlockwire.Parcel) {
 	switch {
 	case p.GetProbe() == probeAsk:
-		_ = c.out.put(&hemlockwire.Parcel{Probe: probeAnswer}) // fails only when the stream has ended
+		c.out.putProbe(probeAnswer)
 	case p.GetCancel():
 		delete(c.partial, p.GetCall())
 		c.cancel(p.GetCall())
@@ -103,7 +103,9 @@
 		var answer *hemlockcall.RelayAnswer
 		var err error = hemlockcall.Refuse(hemlockcall.ReasonLeaving, "the node is stopping")
 		if counted {
-			answer, err = c.server.settings.relayer.Relay(ctx, call)
+			if fault := hemlockcall.Guard(func() { answer, err = c.server.settings.relayer.Relay(ctx, call) }); fault != nil {
+				err = hemlockcall.Doubt(hemlockcall.ReasonFault, fault.Error())
+			}
 		}
 		c.reply(number, answer, err)
 	}()
--- a/hemlockpeer/link.go
+++ b/hemlockpeer/link.go
@@ -63,18 +63,24 @@
 		if err != nil {
 			return err
 		}
-		l.mutex.Lock()
-		l.heard, l.asked = time.Now(), false
-		for _, p := range batch.GetParcels() {
-			if err := l.take(p); err != nil {
-				l.mutex.Unlock()
-				return err
-			}
+		if err := l.takeAll(batch.GetParcels()); err != nil {
+			return err
 		}
-		l.mutex.Unlock()
 	}
 }
 
+func (l *link) takeAll(parcels []*hemlockwire.Parcel) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.heard, l.asked = time.Now(), false
+	for _, p := range parcels {
+		if err := l.take(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // take is called with the lock held.
 func (l *link) take(p *hemlockwire.Parcel) error {
 	call := l.calls[p.GetCall()]
@@ -161,7 +167,7 @@
 		l.retire("the peer has been silent")
 	case silence >= linkSilence && !l.asked:
 		l.asked = true
-		_ = l.out.put(&hemlockwire.Parcel{Probe: probeAsk}) // a full or closed outbox ends in the silence above
+		l.out.putProbe(probeAsk)
 	}
 	return true
 }
--- a/hemlockpeer/link_test.go
+++ b/hemlockpeer/link_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockpeer/hemlockwire"
 )
 
 // relayServer serves Carry streams on a socket of its own.
@@ -193,3 +194,56 @@
 		t.Errorf("refusal %+v", refusal)
 	}
 }
+
+// Guards against a panic in one call that ends the process, or the other calls of the stream.
+func TestPanicEndsOneCall(t *testing.T) {
+	address := relayServer(t, func(_ context.Context, call *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+		if call.Path == "/bad" {
+			panic("no such path")
+		}
+		time.Sleep(20 * time.Millisecond)
+		return &hemlockcall.RelayAnswer{Status: 200}, nil
+	})
+	links := NewLinks()
+	defer links.Close()
+	good := make(chan error, 1)
+	go func() {
+		_, err := links.Relay(t.Context(), address, relayCall(nil))
+		good <- err
+	}()
+	bad := relayCall(nil)
+	bad.Path = "/bad"
+	_, err := links.Relay(t.Context(), address, bad)
+	if refusal := hemlockcall.AsRefusal(err); refusal.Reason != hemlockcall.ReasonFault ||
+		refusal.Verdict != hemlockcall.Unknown {
+		t.Errorf("refused as %+v", refusal)
+	}
+	if err := <-good; err != nil {
+		t.Errorf("the call beside it: %v", err)
+	}
+}
+
+// Guards against a live peer that counts as silent because probes and small calls wait behind long bodies.
+func TestProbesPassLongBodies(t *testing.T) {
+	out := newOutbox()
+	body := make([]byte, 10<<20)
+	if err := out.put(partsOf(&hemlockwire.Parcel{Call: 1, Request: &hemlockwire.RelayRequest{}}, body)...); err != nil {
+		t.Fatal(err)
+	}
+	first := out.take()
+	out.putProbe(probeAsk)
+	second := out.take()
+	if size := len(first[0].Body) * len(first); size > batchBytes {
+		t.Errorf("%d bytes in one message", size)
+	}
+	if second[0].Probe != probeAsk {
+		t.Errorf("%d parcels before the probe", len(second))
+	}
+	for rest := second[1:]; len(rest) > 0; rest = out.take() {
+		for _, p := range rest {
+			if p.Call != 1 || len(p.Body) > partSize {
+				t.Fatalf("parcel of call %d with %d bytes", p.Call, len(p.Body))
+			}
+		}
+	}
+}
--- a/hemlockpeer/links.go
+++ b/hemlockpeer/links.go
@@ -150,7 +150,11 @@
 		}
 	}()
 	go func() {
-		err := fresh.receive(stream)
+		var err error
+		if fault := hemlockcall.Guard(func() { err = fresh.receive(stream) }); fault != nil {
+			s.fault(fault)
+			err = fault
+		}
 		fresh.broken("the connection to the peer broke: " + err.Error())
 		fresh.stop()
 		_ = connection.Close()
--- a/hemlockpeer/option.go
+++ b/hemlockpeer/option.go
@@ -21,6 +21,7 @@
 	claim         func(context.Context, []ClaimChange) ([]bool, error)
 
 	relayer hemlockcall.Relayer
+	fault   func(error)
 
 	dial           func(ctx context.Context, network, address string) (net.Conn, error)
 	connections    int
@@ -33,6 +34,7 @@
 func newSettings(options []Option) settings {
 	s := settings{
 		scope:  tally.NoopScope,
+		fault:  func(error) {},
 		linger: defaultLinger,
 		dial:   (&net.Dialer{}).DialContext,
 		// The bound keeps one slow peer from taking the memory of its callers.
@@ -57,6 +59,11 @@
 	return func(s *settings) { s.scope = scope }
 }
 
+// WithFault sets what is called with a panic that ended a connection.
+func WithFault(report func(error)) Option {
+	return func(s *settings) { s.fault = report }
+}
+
 // WithLinger sets how long a server that is leaving goes on refusing calls after the last one.
 func WithLinger(linger time.Duration) Option {
 	return func(s *settings) { s.linger = linger }
--- a/hemlockpeer/outbox.go
+++ b/hemlockpeer/outbox.go
@@ -1,6 +1,7 @@
 package hemlockpeer
 
 import (
+	"slices"
 	"sync"
 
 	"storj.io/drpc"
@@ -12,6 +13,10 @@
 // maximumOutbox bounds the bytes that wait for a peer that does not read.
 const maximumOutbox = 32 << 20
 
+// batchBytes bounds the bodies in one message, in bytes. A peer is heard of only when a whole message has arrived, and a
+// probe waits for the message before it: on a link of 10 Mbit/s that takes 200 ms.
+const batchBytes = 256 << 10
+
 // batchStream is the sending half of either end of a Carry stream.
 type batchStream interface {
 	drpc.Stream
@@ -51,11 +56,26 @@
 	o.parcels = append(o.parcels, parcels...)
 	o.bytes += size
 	o.mutex.Unlock()
+	o.signal()
+	return nil
+}
+
+// putProbe queues a probe before all that waits: long bodies must not make a live peer look silent. A stream that has ended
+// drops it.
+func (o *outbox) putProbe(value uint32) {
+	o.mutex.Lock()
+	if !o.closed {
+		o.parcels = slices.Insert(o.parcels, 0, &hemlockwire.Parcel{Probe: value})
+	}
+	o.mutex.Unlock()
+	o.signal()
+}
+
+func (o *outbox) signal() {
 	select {
 	case o.wake <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 // withdraw takes a call's first parcel back; it returns false when the parcel was sent or is being sent.
@@ -105,7 +125,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	count, size := 0, 0
-	for count < len(o.parcels) && (count == 0 || size+len(o.parcels[count].Body) <= maximumMessage/4) {
+	for count < len(o.parcels) && (count == 0 || size+len(o.parcels[count].Body) <= batchBytes) {
 		size += len(o.parcels[count].Body)
 		count++
 	}
--- a/hemlockpeer/server.go
+++ b/hemlockpeer/server.go
@@ -103,8 +103,13 @@
 func (s *Server) serveConnection(ctx context.Context, connection net.Conn) {
 	defer s.serving.Done()
 	defer s.removeConnection(connection)
-	// The error says how the connection ended, which is not worth a log line: peers come and go.
-	_ = s.drpc.ServeOne(ctx, connection)
+	fault := hemlockcall.Guard(func() {
+		// The error says how the connection ended, which is not worth a log line: peers come and go.
+		_ = s.drpc.ServeOne(ctx, connection)
+	})
+	if fault != nil {
+		s.settings.fault(fault)
+	}
 }
 
 func (s *Server) addListener(listener net.Listener) bool {
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -182,7 +182,13 @@
 
 func (g *Gate) run(ctx context.Context, call *hemlockcall.Relay, arrival time.Time) (*hemlockcall.RelayAnswer, error) {
 	flight := g.suspects.Started(call.Fingerprint)
-	answer, err := g.target.Relay(ctx, call.WithRemaining(call.Remaining-time.Since(arrival)))
+	var answer *hemlockcall.RelayAnswer
+	var err error
+	if fault := hemlockcall.Guard(func() {
+		answer, err = g.target.Relay(ctx, call.WithRemaining(call.Remaining-time.Since(arrival)))
+	}); fault != nil {
+		err = hemlockcall.Doubt(hemlockcall.ReasonFault, fault.Error())
+	}
 	g.suspects.Finished(time.Now(), flight, err == nil)
 	return answer, err
 }
--- a/hemlockrelay/gate_test.go
+++ b/hemlockrelay/gate_test.go
@@ -142,3 +142,26 @@
 		wantRefusal(t, err, hemlockcall.NotRun, hemlockcall.ReasonSuspect)
 	})
 }
+
+// Guards against a panic in the handling of one answer that ends the process or keeps the slot.
+func TestPanicGivesTheSlotBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &fakeTarget{answer: func(_ context.Context, number int, _ *hemlockcall.Relay) (*hemlockcall.RelayAnswer, error) {
+			if number <= 3 {
+				panic("no such answer")
+			}
+			return ok(), nil
+		}}
+		g := newTestGate(target, 1)
+		for range 3 {
+			_, err := g.Relay(t.Context(), newCall())
+			if refusal := hemlockcall.AsRefusal(err); refusal.Verdict != hemlockcall.Unknown ||
+				refusal.Reason != hemlockcall.ReasonFault {
+				t.Errorf("refused as %+v", refusal)
+			}
+		}
+		if _, err := g.Relay(t.Context(), newCall()); err != nil {
+			t.Error(err)
+		}
+	})
+}
