--- a/hemlockmember/rank.go
+++ b/hemlockmember/rank.go
@@ -114,6 +114,21 @@
 	}
 }
 
+// Zones returns the names of the zones with active members, sorted.
+func (v *View) Zones() []string {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.index()
+	names := make([]string, 0, len(v.zones))
+	for name, z := range v.zones {
+		if len(z.active) > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // otherZones returns the zones with active members besides the given one, apart by region.
 func (v *View) otherZones(own, region string) (near, far []string) {
 	v.mutex.Lock()
--- a/hemlocknode/configuration.go
+++ b/hemlocknode/configuration.go
@@ -102,11 +102,12 @@
 func (w *ConfigurationWatch) fetch(ctx context.Context, o offer) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	_, body, err := w.peers.FetchConfiguration(ctx, o.address, w.holder.Current().Version)
-	if err != nil || len(body) == 0 {
+	answer, err := w.peers.FetchConfiguration(ctx, o.address,
+		hemlockpeer.ConfigurationQuery{NewerThan: w.holder.Current().Version})
+	if err != nil || len(answer.Body) == 0 {
 		return
 	}
-	fetched, err := hemlockconfiguration.Decode(body)
+	fetched, err := hemlockconfiguration.Decode(answer.Body)
 	if err != nil {
 		w.log.Error(err, "configuration of a peer refused", "peer", o.address)
 		return
@@ -155,10 +156,12 @@
 }
 
 // serve answers a peer that asks for a newer configuration.
-func (w *ConfigurationWatch) serve(_ context.Context, newerThan uint64) (uint64, []byte, error) {
+func (w *ConfigurationWatch) serve(_ context.Context, query hemlockpeer.ConfigurationQuery) (
+	hemlockpeer.ConfigurationAnswer, error) {
 	current := w.holder.Current()
-	if current.Version <= newerThan {
-		return current.Version, nil, nil
+	answer := hemlockpeer.ConfigurationAnswer{Version: current.Version}
+	if current.Version > query.NewerThan {
+		answer.Body = hemlockconfiguration.Encode(current)
 	}
-	return current.Version, hemlockconfiguration.Encode(current), nil
+	return answer, nil
 }
--- a/hemlockpeer/client.go
+++ b/hemlockpeer/client.go
@@ -55,15 +55,14 @@
 }
 
 // FetchConfiguration returns the configuration that the peer has in force; the body is empty when it is not newer.
-func (c *Client) FetchConfiguration(
-	ctx context.Context, address string, newerThan uint64,
-) (version uint64, body []byte, err error) {
+func (c *Client) FetchConfiguration(ctx context.Context, address string, query ConfigurationQuery) (
+	answer ConfigurationAnswer, err error) {
 	err = c.control(ctx, address, func(ctx context.Context, node hemlockwire.DRPCNodeClient) error {
-		answer, err := node.FetchConfiguration(ctx, &hemlockwire.ConfigurationQuery{NewerThan: newerThan})
-		version, body = answer.GetVersion(), answer.GetBody()
+		wire, err := node.FetchConfiguration(ctx, encodeQuery(query))
+		answer = decodeConfiguration(wire)
 		return err
 	})
-	return version, body, err
+	return answer, err
 }
 
 // Claim sends a batch of claim changes. Nothing was sent when the kind of the error is KindCapacity, KindConnection or
--- a/hemlockpeer/message.go
+++ b/hemlockpeer/message.go
@@ -3,6 +3,7 @@
 package hemlockpeer
 
 import (
+	"math"
 	"time"
 
 	"hemlockhollow/hemlockpeer/hemlockwire"
@@ -48,6 +49,54 @@
 	Alive bool
 }
 
+// ConfigurationQuery asks a node for a newer configuration.
+type ConfigurationQuery struct {
+	// NewerThan is the version that the asking node has.
+	NewerThan uint64
+	// Wait is how long the answer may wait for a newer one; in milliseconds on the wire.
+	Wait time.Duration
+}
+
+// ConfigurationAnswer is the configuration that a node has in force.
+type ConfigurationAnswer struct {
+	Version uint64
+	// Body is empty when Version is not newer than what was asked for.
+	Body []byte
+	// Confirmed says that the store had no newer configuration at some time, Age how long ago that was; in milliseconds on
+	// the wire.
+	Confirmed bool
+	Age       time.Duration
+}
+
+// longestConfigurationWait bounds how long a node holds a query, whatever the query says.
+const longestConfigurationWait = 5 * time.Second
+
+func encodeQuery(query ConfigurationQuery) *hemlockwire.ConfigurationQuery {
+	return &hemlockwire.ConfigurationQuery{NewerThan: query.NewerThan,
+		WaitMilliseconds: uint32(min(max(query.Wait, 0), longestConfigurationWait) / time.Millisecond)}
+}
+
+func decodeQuery(wire *hemlockwire.ConfigurationQuery) ConfigurationQuery {
+	wait := time.Duration(wire.GetWaitMilliseconds()) * time.Millisecond
+	return ConfigurationQuery{NewerThan: wire.GetNewerThan(), Wait: min(wait, longestConfigurationWait)}
+}
+
+func encodeConfiguration(answer ConfigurationAnswer) *hemlockwire.ConfigurationAnswer {
+	return &hemlockwire.ConfigurationAnswer{Version: answer.Version, Body: answer.Body, Confirmed: answer.Confirmed,
+		AgeMilliseconds: uint64(max(answer.Age, 0) / time.Millisecond)}
+}
+
+func decodeConfiguration(wire *hemlockwire.ConfigurationAnswer) ConfigurationAnswer {
+	// An age out of the range of a duration is as good as none.
+	age := wire.GetAgeMilliseconds()
+	confirmed := wire.GetConfirmed() && age < uint64(math.MaxInt64/time.Millisecond)
+	answer := ConfigurationAnswer{Version: wire.GetVersion(), Body: wire.GetBody(), Confirmed: confirmed}
+	if confirmed {
+		answer.Age = time.Duration(age) * time.Millisecond
+	}
+	return answer
+}
+
 // ClaimChange is a conditional write of one claim row.
 type ClaimChange struct {
 	Key string
--- a/hemlockpeer/option.go
+++ b/hemlockpeer/option.go
@@ -17,7 +17,7 @@
 	scope         tally.Scope
 	linger        time.Duration
 	exchange      func(context.Context, GossipMessage) (GossipMessage, error)
-	configuration func(ctx context.Context, newerThan uint64) (version uint64, body []byte, err error)
+	configuration func(context.Context, ConfigurationQuery) (ConfigurationAnswer, error)
 	claim         func(context.Context, []ClaimChange) ([]bool, error)
 
 	relayer hemlockcall.Relayer
@@ -74,8 +74,9 @@
 	return func(s *settings) { s.exchange = exchange }
 }
 
-// WithConfiguration sets where a server reads the configuration in force; an empty body means none that is newer.
-func WithConfiguration(fetch func(ctx context.Context, newerThan uint64) (uint64, []byte, error)) Option {
+// WithConfiguration sets where a server reads the configuration in force; an empty body means none that is newer. The
+// function may wait for a newer one as long as the query says.
+func WithConfiguration(fetch func(context.Context, ConfigurationQuery) (ConfigurationAnswer, error)) Option {
 	return func(s *settings) { s.configuration = fetch }
 }
 
--- a/hemlockpeer/service.go
+++ b/hemlockpeer/service.go
@@ -41,15 +41,15 @@
 	if s.server.settings.configuration == nil {
 		return nil, unset("fetch configuration")
 	}
-	version, body, err := s.server.settings.configuration(ctx, query.GetNewerThan())
+	answer, err := s.server.settings.configuration(ctx, decodeQuery(query))
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > maximumMessage-chunkSize {
+	if len(answer.Body) > maximumMessage-chunkSize {
 		// The reader of the peer would close the connection without saying why.
 		return nil, hemlockerror.New("fetch configuration", KindRemote, "configuration too large for one message")
 	}
-	return &hemlockwire.ConfigurationAnswer{Version: version, Body: body}, nil
+	return encodeConfiguration(answer), nil
 }
 
 // Claim implements hemlockwire.DRPCNodeServer.
--- a/hemlockpeer/shutdown_test.go
+++ b/hemlockpeer/shutdown_test.go
@@ -97,8 +97,9 @@
 	}), WithExchange(func(_ context.Context, m GossipMessage) (GossipMessage, error) {
 		m.Kind++
 		return m, nil
-	}), WithConfiguration(func(_ context.Context, newerThan uint64) (uint64, []byte, error) {
-		return newerThan + 1, []byte("configuration"), nil
+	}), WithConfiguration(func(_ context.Context, query ConfigurationQuery) (ConfigurationAnswer, error) {
+		return ConfigurationAnswer{Version: query.NewerThan + 1, Body: []byte("configuration"), Confirmed: true,
+			Age: query.Wait}, nil
 	}), WithClaim(func(_ context.Context, changes []ClaimChange) ([]bool, error) {
 		return []bool{changes[0].Key == "k", changes[1].Version == 3}, nil
 	}))
@@ -115,10 +116,12 @@
 	equal(t, "kind", reply.Kind, 2)
 	equal(t, "member", reply.Members[0], GossipMember{Address: "a", Incarnation: 4})
 	equal(t, "suspect", reply.Suspects[0], GossipSuspect{Fingerprint: 5, Age: time.Second, Origin: "b", Crash: 6})
-	version, body, err := client.FetchConfiguration(ctx, address, 7)
+	answer, err := client.FetchConfiguration(ctx, address, ConfigurationQuery{NewerThan: 7, Wait: 20 * time.Millisecond})
 	noError(t, err)
-	equal(t, "configuration", string(body), "configuration")
-	equal(t, "version", version, 8)
+	equal(t, "configuration", string(answer.Body), "configuration")
+	equal(t, "version", answer.Version, 8)
+	equal(t, "confirmed", answer.Confirmed, true)
+	equal(t, "age", answer.Age, 20*time.Millisecond)
 	applied, err := client.Claim(ctx, address, []ClaimChange{{Key: "k"}, {Key: "l", Version: 2, Row: []byte("r")}})
 	noError(t, err)
 	equal(t, "first change", applied[0], true)
