Report the load of services on answers, hold trees back by their first service

Cause: an entry knew the load of the deepest service from its own few calls to it alone (1.4 a second at 15 hosts, 1 at 195), and held all trees of a priority back by it with one share. Change: the feedback of a node carries the services it knows to be loaded, with the age of the news; the newest counts. The valve keeps a share for each priority and first service, the load of the first service itself counts by half, as its targets refuse before a tree begins, and an entry with few trees makes up for missed steps. Which services a route reaches is not learned yet: catalogue-pull, which calls nothing, is still held back by the deepest service.

--- a/hemlockcall/request.go
+++ b/hemlockcall/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Request is one call to a service.
@@ -28,6 +29,15 @@
 	Fingerprint uint64
 }
 
+// ServiceLoad is what a node knows of one service as a whole.
+type ServiceLoad struct {
+	Service string
+	// Load is the mean share of the limits of its targets that is taken; above 1 when calls wait.
+	Load float64
+	// Age is how old the news is.
+	Age time.Duration
+}
+
 // Feedback is what the called side reports with the end of an answer or with a refusal.
 type Feedback struct {
 	// Retries is the unused rest of the retry share that the call brought; never more than the share.
@@ -38,6 +48,9 @@
 	InFlight int
 	// Limit is the concurrency limit of the called target; 0 means unknown.
 	Limit int
+	// Loads are what the reporting node knows of other services; most lie below the called one in the graph. It is not
+	// changed after it was set.
+	Loads []ServiceLoad
 }
 
 // Response is the answer to a Request.
--- a/hemlockpeer/call_test.go
+++ b/hemlockpeer/call_test.go
@@ -23,7 +23,8 @@
 			response, err := client.To(address).Invoke(context.Background(), newRequest(bytes.NewReader(body), int64(size)))
 			noError(t, err)
 			checkEcho(t, response, "7", body)
-			equal(t, "feedback", response.Feedback(), hemlockcall.Feedback{Retries: 1, InFlight: 3, Limit: 9})
+			equal(t, "feedback", fmt.Sprintf("%+v", response.Feedback()),
+				fmt.Sprintf("%+v", hemlockcall.Feedback{Retries: 1, InFlight: 3, Limit: 9}))
 		})
 	}
 }
--- a/hemlockpeer/head.go
+++ b/hemlockpeer/head.go
@@ -159,9 +159,49 @@
 		Level:    uint32(feedback.Level),
 		InFlight: uint32(max(feedback.InFlight, 0)),
 		Limit:    uint32(max(feedback.Limit, 0)),
+		Loads:    encodeLoads(feedback.Loads),
 	}
 }
 
+const (
+	// maximumLoads bounds the services in one feedback; a node reports the most loaded ones.
+	maximumLoads = 16
+	// percent is the unit of loads on the wire.
+	percent = 100
+	// highestLoad bounds a load, whatever a peer claims.
+	highestLoad = 100
+)
+
+func encodeLoads(loads []hemlockcall.ServiceLoad) []*hemlockwire.ServiceLoad {
+	if len(loads) == 0 {
+		return nil
+	}
+	wire := make([]*hemlockwire.ServiceLoad, 0, len(loads))
+	for _, l := range loads[:min(len(loads), maximumLoads)] {
+		wire = append(wire, &hemlockwire.ServiceLoad{Service: l.Service,
+			LoadPercent:     uint32(min(max(l.Load, 0), highestLoad) * percent),
+			AgeMilliseconds: uint32(min(max(l.Age, 0), maximumRemaining) / time.Millisecond)})
+	}
+	return wire
+}
+
+// decodeLoads passes over services that no node names so.
+func decodeLoads(wire []*hemlockwire.ServiceLoad) []hemlockcall.ServiceLoad {
+	if len(wire) == 0 {
+		return nil
+	}
+	loads := make([]hemlockcall.ServiceLoad, 0, min(len(wire), maximumLoads))
+	for _, l := range wire[:min(len(wire), maximumLoads)] {
+		if l.GetService() == "" || len(l.GetService()) > maximumName {
+			continue
+		}
+		loads = append(loads, hemlockcall.ServiceLoad{Service: l.GetService(),
+			Load: min(float64(l.GetLoadPercent())/percent, highestLoad),
+			Age:  time.Duration(l.GetAgeMilliseconds()) * time.Millisecond})
+	}
+	return loads
+}
+
 // decodeFeedback never credits more retries than the share that the call brought, whatever the peer claims.
 func decodeFeedback(feedback *hemlockwire.Feedback, share int) (hemlockcall.Feedback, error) {
 	if feedback.GetLevel() >= uint32(hemlockcall.Priorities) {
@@ -172,6 +212,7 @@
 		Level:    hemlockcall.Priority(feedback.GetLevel()),
 		InFlight: int(min(feedback.GetInFlight(), math.MaxInt32)),
 		Limit:    int(min(feedback.GetLimit(), math.MaxInt32)),
+		Loads:    decodeLoads(feedback.GetLoads()),
 	}, nil
 }
 
--- a/hemlockpressure/pressure.go
+++ b/hemlockpressure/pressure.go
@@ -6,8 +6,13 @@
 package hemlockpressure
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"sync"
 	"time"
+
+	"hemlockhollow/hemlockcall"
 )
 
 const (
@@ -27,6 +32,15 @@
 	treeFailing = 0.5
 	// treeClasses bounds the classes that are told apart.
 	treeClasses = 256
+	// directShare is the part by which the load of a service counts for calls that go straight to it: they are held back once
+	// about as many calls wait at its targets as run.
+	directShare = 0.5
+	// passedOn is the load from which the news of a service is worth passing on.
+	passedOn = 0.6
+	// mostPassedOn bounds the services in one digest.
+	mostPassedOn = 8
+	// mostServices bounds the services that are told apart; a deployment has tens.
+	mostServices = 256
 )
 
 // Average is a moving mean over time. The zero value is ready.
@@ -84,15 +98,56 @@
 }
 
 // Report takes in the load that a node reported with the end of a call to a service.
-func (m *Monitor) Report(now time.Time, service string, load float64) {
+func (m *Monitor) Report(now time.Time, name string, load float64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	a := m.services[service]
-	if a == nil {
-		a = &Average{}
-		m.services[service] = a
+	m.service(name).Add(now, load)
+}
+
+// Learn takes in what another node knows of services. The newest news counts; it is a mean already.
+func (m *Monitor) Learn(now time.Time, loads []hemlockcall.ServiceLoad) {
+	if len(loads) == 0 {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, l := range loads {
+		if s, at := m.service(l.Service), now.Add(-l.Age); at.After(s.at) {
+			*s = Average{value: l.Load, at: at}
+		}
 	}
-	a.Add(now, load)
+}
+
+// Digest returns the loaded services for other nodes, the most loaded ones first; nil where there is none.
+func (m *Monitor) Digest(now time.Time) []hemlockcall.ServiceLoad {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var loads []hemlockcall.ServiceLoad
+	for name, s := range m.services {
+		if value := s.Value(now); value >= passedOn {
+			loads = append(loads, hemlockcall.ServiceLoad{Service: name, Load: value, Age: max(0, now.Sub(s.at))})
+		}
+	}
+	if len(loads) > 1 {
+		slices.SortFunc(loads, func(a, b hemlockcall.ServiceLoad) int {
+			return cmp.Or(cmp.Compare(b.Load, a.Load), strings.Compare(a.Service, b.Service))
+		})
+		loads = loads[:min(len(loads), mostPassedOn)]
+	}
+	return loads
+}
+
+// service is called with the lock held.
+func (m *Monitor) service(name string) *Average {
+	s := m.services[name]
+	if s == nil {
+		if len(m.services) >= mostServices {
+			clear(m.services) // names of services that are gone
+		}
+		s = &Average{}
+		m.services[name] = s
+	}
+	return s
 }
 
 // Missing takes in that a call found no target of its service.
@@ -130,13 +185,16 @@
 	Cause string
 }
 
-// ForTree returns the load by which the trees of a class are let in: that of the most loaded service, or one that rises
-// with the share of trees that fail, where most of them do. A service below may be cut off or refuse at random, which its
-// load does not show.
-func (m *Monitor) ForTree(now time.Time, class string) Load {
+// ForTree returns the load by which the trees of a class are let in whose first call goes to a service: that of the most
+// loaded service, or one that rises with the share of trees that fail, where most of them do. A service below may be cut
+// off or refuse at random, which its load does not show.
+//
+// The load of the first service itself counts by directShare. Its targets refuse a call before its tree begins, so that no
+// work is lost, and a call that goes straight to a deep service costs it one run where a tree from above costs several.
+func (m *Monitor) ForTree(now time.Time, class, first string) Load {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	load := m.highest(now)
+	load := m.highest(now, first)
 	if f := m.trees[class]; f != nil && f.value(now) > treeFailing && missingLoad*f.value(now) > load.Value {
 		return Load{Value: missingLoad * f.value(now), Cause: "failing trees"}
 	}
@@ -144,11 +202,11 @@
 }
 
 // Of returns the load of one service.
-func (m *Monitor) Of(now time.Time, service string) float64 {
+func (m *Monitor) Of(now time.Time, name string) float64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if a := m.services[service]; a != nil {
-		return a.Value(now)
+	if s := m.services[name]; s != nil {
+		return s.Value(now)
 	}
 	return 0
 }
@@ -157,17 +215,21 @@
 func (m *Monitor) Highest(now time.Time) float64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.highest(now).Value
+	return m.highest(now, "").Value
 }
 
 // highest is called with the lock held.
-func (m *Monitor) highest(now time.Time) Load {
+func (m *Monitor) highest(now time.Time, first string) Load {
 	if now.Before(m.missing) {
 		return Load{Value: missingLoad, Cause: "a service without a target"}
 	}
 	var highest Load
-	for name, a := range m.services {
-		if value := a.Value(now); value > highest.Value {
+	for name, s := range m.services {
+		value := s.Value(now)
+		if name == first {
+			value *= directShare
+		}
+		if value > highest.Value {
 			highest = Load{Value: value, Cause: name}
 		}
 	}
--- a/hemlockpressure/replay_test.go
+++ b/hemlockpressure/replay_test.go
@@ -28,6 +28,8 @@
 	priority hemlockcall.Priority
 	left     int
 	born     time.Duration
+	// resume goes on with a tree that waits; used by fleet only.
+	resume func()
 }
 
 // event is something that happens at a time of the replay.
@@ -72,7 +74,7 @@
 	}
 	r.after(every, func() { r.arrive(priority, calls, every) })
 	r.asked[priority]++
-	if r.valve != nil && !r.valve.Admit(r.clock(), priority, r.monitor.Highest(r.clock())) {
+	if r.valve != nil && !r.valve.Admit(r.clock(), priority, "first", r.monitor.Highest(r.clock())) {
 		return
 	}
 	t := &tree{priority: priority, left: calls, born: r.now}
--- a/hemlockpressure/valve.go
+++ b/hemlockpressure/valve.go
@@ -1,6 +1,7 @@
 package hemlockpressure
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -28,13 +29,24 @@
 	hemlockcall.Critical:  3,
 }
 
-// Valve lets a share of the fresh trees of each priority in. It is safe for concurrent use.
+// mostSteps bounds the steps that one tree makes up for. An entry of a large fleet begins few trees of a kind a second; with
+// one step a tree it would follow a burst in tens of seconds.
+const mostSteps = 3
+
+// Valve lets a share of the fresh trees of each kind in. It is safe for concurrent use.
 type Valve struct {
 	mutex  sync.Mutex
-	shares [hemlockcall.Priorities]share
+	shares map[kind]*share
+}
+
+// kind is the trees that are let in together: those of a priority whose first call goes to the same service. They see the
+// same loads.
+type kind struct {
+	priority hemlockcall.Priority
+	first    string
 }
 
-// share is the part of the trees of one priority that is let in.
+// share is the part of the trees of one kind that is let in.
 type share struct {
 	value   float64
 	credit  float64
@@ -43,18 +55,14 @@
 
 // NewValve returns an open valve.
 func NewValve() *Valve {
-	v := &Valve{}
-	for i := range v.shares {
-		v.shares[i].value = 1
-	}
-	return v
+	return &Valve{shares: map[kind]*share{}}
 }
 
-// Admit reports whether a fresh tree is let in, at the load of the most loaded service.
-func (v *Valve) Admit(now time.Time, priority hemlockcall.Priority, load float64) bool {
+// Admit reports whether a fresh tree is let in whose first call goes to a service, at a load as ForTree returns it.
+func (v *Valve) Admit(now time.Time, priority hemlockcall.Priority, first string, load float64) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	s := &v.shares[priority]
+	s := v.share(priority, first)
 	s.steer(now, load, aims[priority])
 	if s.value >= 1 {
 		return true
@@ -67,25 +75,41 @@
 	return true
 }
 
-// Share returns the part of the trees of a priority that is let in.
-func (v *Valve) Share(priority hemlockcall.Priority) float64 {
+// Share returns the part of the trees of a kind that is let in.
+func (v *Valve) Share(priority hemlockcall.Priority, first string) float64 {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return v.shares[priority].value
+	return v.share(priority, first).value
+}
+
+// share is called with the lock held.
+func (v *Valve) share(priority hemlockcall.Priority, first string) *share {
+	k := kind{priority: priority, first: first}
+	s := v.shares[k]
+	if s == nil {
+		if len(v.shares) >= mostServices {
+			clear(v.shares) // names of services that are gone
+		}
+		s = &share{value: 1}
+		v.shares[k] = s
+	}
+	return s
 }
 
 func (s *share) steer(now time.Time, load, aim float64) {
-	if passed := now.Sub(s.changed); passed < step {
+	passed := now.Sub(s.changed)
+	switch {
+	case passed < step:
 		return
-	} else if passed > newsAge {
+	case passed > newsAge:
 		load = min(load, aim) // nothing was let in for long; old news does not close the valve further
 	}
 	s.changed = now
+	steps := min(float64(passed/step), mostSteps)
 	excess := load - aim
+	factor := 1 + growth*min(1, -excess/aim)
 	if excess > 0 {
-		s.value *= 1 - min(largestCut, gain*excess)
-	} else {
-		s.value *= 1 + growth*min(1, -excess/aim)
+		factor = 1 - min(largestCut, gain*excess)
 	}
-	s.value = min(max(s.value, leastShare), 1)
+	s.value = min(max(s.value*math.Pow(factor, steps), leastShare), 1)
 }
--- a/hemlockpressure/valve_test.go
+++ b/hemlockpressure/valve_test.go
@@ -10,7 +10,7 @@
 func admitted(v *Valve, from time.Time, p hemlockcall.Priority, load float64, count int, every time.Duration) int {
 	let := 0
 	for i := range count {
-		if v.Admit(from.Add(time.Duration(i)*every), p, load) {
+		if v.Admit(from.Add(time.Duration(i)*every), p, "s", load) {
 			let++
 		}
 	}
@@ -38,12 +38,61 @@
 		v := NewValve()
 		admitted(v, start, hemlockcall.Sheddable, 4, 3000, time.Millisecond)
 		admitted(v, start.Add(3*time.Second), hemlockcall.Sheddable, 0.4, 2000, time.Millisecond)
-		if share := v.Share(hemlockcall.Sheddable); share < 1 {
+		if share := v.Share(hemlockcall.Sheddable, "s"); share < 1 {
 			t.Errorf("share %.2f after 2 s without load", share)
 		}
 	})
 }
 
+// The load of a deployment whose deepest service has three targets for seventy hosts: a lookup makes eight calls of it, a
+// booking goes straight to it, at the same priority.
+//
+// Guards against bookings that starve because lookups, which cost the service eight times as much, fill it.
+func TestCallsStraightToALoadedServiceAreNotHeldBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m, v := NewMonitor(), NewValve()
+	bookings, lookups := 0, 0
+	const rounds = 300
+	for range rounds {
+		now = now.Add(10 * time.Millisecond)
+		m.Report(now, "dispatch", 1.3)
+		if v.Admit(now, hemlockcall.Sheddable, "dispatch", m.ForTree(now, "booking", "dispatch").Value) {
+			bookings++
+		}
+		if v.Admit(now, hemlockcall.Sheddable, "pricing", m.ForTree(now, "lookup", "pricing").Value) {
+			lookups++
+		}
+	}
+	if bookings != rounds || lookups > rounds/2 {
+		t.Errorf("%d bookings and %d lookups of %d let in", bookings, lookups, rounds)
+	}
+	t.Run("but a full service refuses them before they travel", func(t *testing.T) {
+		let := 0
+		for range rounds {
+			now = now.Add(10 * time.Millisecond)
+			m.Report(now, "dispatch", 5)
+			if v.Admit(now, hemlockcall.Sheddable, "dispatch", m.ForTree(now, "booking", "dispatch").Value) {
+				let++
+			}
+		}
+		if let > rounds/2 {
+			t.Errorf("%d of %d let in", let, rounds)
+		}
+	})
+}
+
+// Guards against an entry of a large fleet that follows a burst in tens of seconds, because it begins few trees of a kind.
+func TestValveOfAnEntryWithFewTrees(t *testing.T) {
+	v, now := NewValve(), time.Unix(1000, 0)
+	for range 10 { // three a second
+		now = now.Add(330 * time.Millisecond)
+		v.Admit(now, hemlockcall.Sheddable, "s", 2)
+	}
+	if share := v.Share(hemlockcall.Sheddable, "s"); share > 0.1 {
+		t.Errorf("share %.2f after 3 s at twice the limit", share)
+	}
+}
+
 func TestMonitor(t *testing.T) {
 	start := time.Unix(1000, 0)
 	t.Run("forgets old reports", func(t *testing.T) {
@@ -79,13 +128,13 @@
 		m.Ended(start.Add(time.Duration(i)*time.Millisecond), "order", i%4 == 0)
 	}
 	now := start.Add(40 * time.Millisecond)
-	if load := m.ForTree(now, "browse").Value; load < 4 {
+	if load := m.ForTree(now, "browse", "").Value; load < 4 {
 		t.Errorf("load %.2f for a class that always fails", load)
 	}
-	if load := m.ForTree(now, "order").Value; load > 1 {
+	if load := m.ForTree(now, "order", "").Value; load > 1 {
 		t.Errorf("load %.2f for a class of which a quarter fails", load)
 	}
-	if load := m.ForTree(now.Add(2*time.Second), "browse").Value; load > 1 {
+	if load := m.ForTree(now.Add(2*time.Second), "browse", "").Value; load > 1 {
 		t.Errorf("load %.2f two seconds after the last tree", load)
 	}
 }
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -49,9 +49,10 @@
 // NewEntry returns the entry of the node with the given peer address.
 func NewEntry(self string, gate *Gate, links Links, table *hemlockplacement.Table, budget *hemlockretry.SharedBudget,
 	observer Observer) *Entry {
+	monitor := hemlockpressure.NewMonitor()
+	gate.ShareLoads(monitor.Digest)
 	return &Entry{self: self, gate: gate, links: links, table: table, budget: budget, observer: observer,
-		monitor: hemlockpressure.NewMonitor(), valve: hemlockpressure.NewValve(),
-		latency: newLatencies()}
+		monitor: monitor, valve: hemlockpressure.NewValve(), latency: newLatencies()}
 }
 
 // Relay carries a call out within its remaining time, at no more than maxAttempts targets.
@@ -88,11 +89,11 @@
 	if call.Priority == hemlockcall.Important {
 		return nil
 	}
-	load := e.monitor.ForTree(now, call.Class)
-	if e.valve.Admit(now, call.Priority, load.Value) {
+	load := e.monitor.ForTree(now, call.Class, call.Service)
+	if e.valve.Admit(now, call.Priority, call.Service, load.Value) {
 		return nil
 	}
-	share := e.valve.Share(call.Priority)
+	share := e.valve.Share(call.Priority, call.Service)
 	wait := returnSoon + time.Duration(float64(returnLate)*(1-share))
 	return hemlockcall.Refuse(hemlockcall.ReasonOverload, fmt.Sprintf(
 		"no room for new trees of calls: load %.2f (%s), %.0f%% let in", load.Value, load.Cause, 100*share)).
@@ -201,6 +202,7 @@
 // done reports the end of an attempt to those that learn from it.
 func (e *Entry) done(now time.Time, address string, call *hemlockcall.Relay, r hemlockplacement.Result) {
 	e.table.Done(now, address, r)
+	e.monitor.Learn(now, r.Feedback.Loads)
 	if r.Feedback.Limit > 0 {
 		e.monitor.Report(now, call.Service, float64(r.Feedback.InFlight)/float64(r.Feedback.Limit))
 	}
--- a/hemlockrelay/fixture_test.go
+++ b/hemlockrelay/fixture_test.go
@@ -76,7 +76,7 @@
 	}
 	table.Replace(targets)
 	budget := hemlockretry.NewSharedBudget(hemlockretry.Allowance{Ratio: 0.2, Slack: 100, Window: time.Second})
-	for range 100 {
+	for range 300 { // enough for all sends of one call
 		budget.Earn(time.Now(), "s")
 	}
 	return NewEntry("self", newTestGate(&fakeTarget{}, 1), links, table, budget, quiet{})
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -34,6 +34,8 @@
 	controller *hemlockadmission.Controller[*waiter]
 	suspects   *hemlocksuspect.Table
 	observer   Observer
+	// loads returns what this node knows of other services.
+	loads func(now time.Time) []hemlockcall.ServiceLoad
 
 	mutex sync.Mutex
 	state TargetState
@@ -55,7 +57,8 @@
 
 // NewGate returns the gate of a target that is not known yet.
 func NewGate(target hemlockcall.Relayer, suspects *hemlocksuspect.Table, observer Observer) *Gate {
-	g := &Gate{target: target, suspects: suspects, observer: observer}
+	g := &Gate{target: target, suspects: suspects, observer: observer,
+		loads: func(time.Time) []hemlockcall.ServiceLoad { return nil }}
 	g.controller = hemlockadmission.New(0, func(t *hemlockadmission.Ticket[*waiter]) { close(t.Value.decided) },
 		hemlockadmission.WithQueueShare(queueShare),
 		// Entries turn less important trees away before they begin; a hold here would fail those that were let in. The slots
@@ -64,6 +67,11 @@
 	return g
 }
 
+// ShareLoads sets what the gate reports of other services. It is called before the first call.
+func (g *Gate) ShareLoads(loads func(now time.Time) []hemlockcall.ServiceLoad) {
+	g.loads = loads
+}
+
 // State returns what is known about the target.
 func (g *Gate) State() TargetState {
 	g.mutex.Lock()
@@ -125,8 +133,9 @@
 }
 
 func (g *Gate) feedback() hemlockcall.Feedback {
-	s := g.controller.Snapshot(time.Now())
-	return hemlockcall.Feedback{Level: s.Level, InFlight: s.InFlight + s.Queued, Limit: s.Limit}
+	now := time.Now()
+	s := g.controller.Snapshot(now)
+	return hemlockcall.Feedback{Level: s.Level, InFlight: s.InFlight + s.Queued, Limit: s.Limit, Loads: g.loads(now)}
 }
 
 // admit waits until the call may run.
