--- a/hemlockfeed/feed.go
+++ b/hemlockfeed/feed.go
@@ -27,8 +27,8 @@
 	PeerWait = time.Second
 	// PeerMargin is how much later than PeerWait an answer may come.
 	PeerMargin = 300 * time.Millisecond
-	// patience is the age of the store's word beyond which a node asks for itself: the longest of a sound leader and of the
-	// question to it.
+	// patience is the age of the store's word beyond which a node asks for itself. With sound leaders it stays below: a leader
+	// hears from the store each StoreWait, and a node from its leader each PeerWait.
 	patience = StoreWait + PeerWait + 2*PeerMargin
 	// failuresInRow is how many questions to leaders fail before a node asks the store at once.
 	failuresInRow = 2
--- a/hemlocknode/node.go
+++ b/hemlocknode/node.go
@@ -86,6 +86,7 @@
 	if n.claims.batcher != nil {
 		options = append(options, hemlockpeer.WithClaim(collectClaims(n.claims.batcher)))
 	}
+	options = append(options, hemlockpeer.WithFault(func(fault error) { n.log.Error(fault, "connection to a peer ended") }))
 	n.peers = hemlockpeer.NewServer(n.server, options...)
 	n.operators = hemlockoperator.New(
 		hemlockoperator.WithMetrics(n.metrics.Handler()),
--- a/hemlockpressure/pressure.go
+++ b/hemlockpressure/pressure.go
@@ -101,7 +101,7 @@
 func (m *Monitor) Report(now time.Time, name string, load float64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.service(name).Add(now, load)
+	m.average(name).Add(now, load)
 }
 
 // Learn takes in what another node knows of services. The newest news counts; it is a mean already.
@@ -112,7 +112,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for _, l := range loads {
-		if s, at := m.service(l.Service), now.Add(-l.Age); at.After(s.at) {
+		if s, at := m.average(l.Service), now.Add(-l.Age); at.After(s.at) {
 			*s = Average{value: l.Load, at: at}
 		}
 	}
@@ -137,8 +137,8 @@
 	return loads
 }
 
-// service is called with the lock held.
-func (m *Monitor) service(name string) *Average {
+// average returns the load of a service; it is called with the lock held.
+func (m *Monitor) average(name string) *Average {
 	s := m.services[name]
 	if s == nil {
 		if len(m.services) >= mostServices {
