--- a/hemlockpressure/fleet_test.go
+++ b/hemlockpressure/fleet_test.go
@@ -1,7 +1,6 @@
 package hemlockpressure
 
 import (
-	"container/heap"
 	"fmt"
 	"testing"
 	"time"
@@ -93,11 +92,7 @@
 func (f *fleet) play() *fleet {
 	f.arrive(hemlockcall.Sheddable, browseCalls, time.Second/browseRate)
 	f.arrive(hemlockcall.Critical, orderCalls, time.Second/orderRate)
-	for len(f.agenda) > 0 {
-		next := heap.Pop(&f.agenda).(event)
-		f.now = next.at
-		next.do()
-	}
+	f.drain()
 	return f
 }
 
--- a/hemlockpressure/replay_test.go
+++ b/hemlockpressure/replay_test.go
@@ -114,12 +114,17 @@
 	r := &replay{valve: valve, monitor: NewMonitor()}
 	r.arrive(hemlockcall.Sheddable, browseCalls, time.Second/browseRate)
 	r.arrive(hemlockcall.Critical, orderCalls, time.Second/orderRate)
+	r.drain()
+	return r
+}
+
+// drain does what is on the agenda, in the order of time, until nothing is left.
+func (r *replay) drain() {
 	for len(r.agenda) > 0 {
 		next := heap.Pop(&r.agenda).(event)
 		r.now = next.at
 		next.do()
 	}
-	return r
 }
 
 func (r *replay) share(p hemlockcall.Priority) float64 {
