Pace the calls to a target to the rate limit that it states

Targets saw up to twice what they had allowed: a target that stated 34.6 requests a second got 69.8, because no decision knew a limit of requests per second.

Cause: gates bound how many calls run at a time. A target in need asks for fewer calls per second, which the number of slots says nothing about.

Change: the gate, which all calls to a target pass, paces admissions with a token bucket at the stated limit. The gate reports the use of the limit as its load, so that entries spread calls by it. A response without a limit revokes it; a limit that is no decimal number, a refusal without one and a late response of a previous instance do not.

Why this works: the limit binds all machines together, and there is one gate for each target, so no share of it has to be agreed on between machines.

--- a/hemlockadmission/controller.go
+++ b/hemlockadmission/controller.go
@@ -17,6 +17,7 @@
 
 	mutex           sync.Mutex
 	limit           limit
+	rate            rateLimiter
 	inFlight        int // admitted and not finished; above the limit only after the limit has decreased
 	runningSuspects int // admitted suspects; at most 1
 	regularQueue    *queue[T]
@@ -45,6 +46,10 @@
 	InFlight    int                  `json:"in-flight"`
 	Queued      int                  `json:"queued"`
 	MinPriority hemlockcall.Priority `json:"level"`
+	// RateLimit is the limit on the requests per second that the target accepts. RateLoad is the recent admissions and the
+	// queued requests as a fraction of it; 0 without a limit.
+	RateLimit hemlockcall.RateLimit `json:"rate-limit"`
+	RateLoad  float64               `json:"rate-load"`
 	Counters    Counters             `json:"counters"`
 }
 
@@ -78,7 +83,7 @@
 		c.refuse(t, hemlockcall.ReasonDeadline, "the remaining time is too short for the request to complete")
 	case attributes.Priority < c.minPriority(now) || !c.settings.disabled[NestedPacing] && !c.classOf(attributes.Class).allow(now):
 		c.refuseForLoad(now, t, &decided)
-	case c.hasSlotFor(t) && c.next() == nil:
+	case c.hasSlotFor(t) && c.next() == nil && c.rate.allows(now):
 		c.admit(t)
 	default:
 		c.enqueue(now, t, &decided)
@@ -124,7 +129,7 @@
 }
 
 // RefuseLate refuses the queued requests whose remaining time has become too short for them to complete, and admits others
-// if slots are free. Call it every 10 to 20 ms while requests are queued.
+// if slots are free and the rate limit allows it. Call it every 10 to 20 ms while requests are queued.
 func (c *Controller[T]) RefuseLate(now time.Time) {
 	var decided []*Ticket[T]
 	c.mutex.Lock()
@@ -156,6 +161,17 @@
 	c.notify(decided)
 }
 
+// SetRateLimit applies the limit on the requests per second that the target accepts, or removes it.
+func (c *Controller[T]) SetRateLimit(now time.Time, limit hemlockcall.RateLimit) {
+	var decided []*Ticket[T]
+	c.mutex.Lock()
+	c.rate.set(now, limit)
+	c.trimQueue(now, &decided)
+	c.admitQueued(now, &decided)
+	c.mutex.Unlock()
+	c.notify(decided)
+}
+
 // MinPriority returns the lowest priority that is admitted: the highest one that was refused because of load within the hold
 // time. It returns Sheddable if there is none or PriorityHold is disabled.
 func (c *Controller[T]) MinPriority(now time.Time) hemlockcall.Priority {
@@ -169,7 +185,8 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return Snapshot{Slots: c.limit.slots, Limit: c.limit.current(), InFlight: c.inFlight, Queued: c.queued(),
-		MinPriority: c.minPriority(now), Counters: c.counters}
+		MinPriority: c.minPriority(now), RateLimit: c.rate.limit, RateLoad: c.rate.load(now, c.queued()),
+		Counters: c.counters}
 }
 
 // notify calls onDecided for each ticket. It is called without the lock.
--- a/hemlockadmission/decision.go
+++ b/hemlockadmission/decision.go
@@ -15,10 +15,23 @@
 
 // maxQueued returns the maximum number of queued tickets.
 func (c *Controller[T]) maxQueued() int {
+	size := int(float64(c.limit.slots) * c.settings.queueFactor)
 	if c.settings.queueSize > 0 {
-		return c.settings.queueSize
+		size = c.settings.queueSize
+	}
+	if paced, limited := c.rate.maxQueued(); limited {
+		return min(size, paced)
+	}
+	return size
+}
+
+// trimQueue refuses the last queued tickets until no more than maxQueued are left.
+func (c *Controller[T]) trimQueue(now time.Time, decided *[]*Ticket[T]) {
+	for c.queued() > c.maxQueued() {
+		last := c.last()
+		c.queueOf(last).remove(last)
+		c.refuseForLoad(now, last, decided)
 	}
-	return int(float64(c.limit.slots) * c.settings.queueFactor)
 }
 
 func (c *Controller[T]) queueOf(t *Ticket[T]) *queue[T] {
@@ -83,6 +96,7 @@
 func (c *Controller[T]) admit(t *Ticket[T]) {
 	t.state, t.admitted = stateRunning, true
 	c.inFlight++
+	c.rate.record()
 	c.counters.Admitted++
 	if t.Attributes.Suspect {
 		c.runningSuspects++
@@ -134,10 +148,10 @@
 	c.queueOf(t).push(t)
 }
 
-// admitQueued takes tickets from the queue in the service order until the number of running requests reaches the limit. It
-// refuses those that have become late and admits the others.
+// admitQueued takes tickets from the queue in the service order until the number of running requests reaches the limit, or
+// the rate limit allows no more. It refuses those that have become late and admits the others.
 func (c *Controller[T]) admitQueued(now time.Time, decided *[]*Ticket[T]) {
-	for c.inFlight < c.limit.current() {
+	for c.inFlight < c.limit.current() && c.rate.allows(now) {
 		t := c.next()
 		if t == nil {
 			return
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -40,8 +40,11 @@
 	// loadSource returns the loads of other services that the node knows, for the feedback of the gate.
 	loadSource func(now time.Time) []hemlockcall.ServiceLoad
 
+	// mutex is locked before the mutex of the controller.
 	mutex sync.Mutex
 	state TargetState
+	// statement is what the current instance of the target has stated last.
+	statement hemlockcall.TargetStatement
 	// lateCallCheckScheduled is set while a timer runs that refuses late calls in the queue.
 	lateCallCheckScheduled bool
 }
@@ -93,6 +96,9 @@
 	g.mutex.Lock()
 	old := g.state
 	g.state = state
+	if old.Instance != state.Instance {
+		g.applyStatement(now, hemlockcall.TargetStatement{})
+	}
 	g.mutex.Unlock()
 	if old.Instance != state.Instance && old.Ready {
 		g.controller.SetSlots(now, 0) // a new process: the queued calls were meant for the previous one
@@ -145,8 +151,8 @@
 func (g *Gate) feedback() hemlockcall.Feedback {
 	now := time.Now()
 	s := g.controller.Snapshot(now)
-	return hemlockcall.Feedback{MinPriority: s.MinPriority, InFlight: s.InFlight + s.Queued, Limit: s.Limit,
-		Loads: g.loadSource(now)}
+	inUse, limit := loadOf(s)
+	return hemlockcall.Feedback{MinPriority: s.MinPriority, InFlight: inUse, Limit: limit, Loads: g.loadSource(now)}
 }
 
 // admit waits until the call may run, or returns a refusal. The caller must pass the ticket to Finish.
--- a/hemlockrelay/gate_test.go
+++ b/hemlockrelay/gate_test.go
@@ -170,3 +170,65 @@
 		}
 	})
 }
+
+// Guards against a target that receives calls faster than it stated, and against a limit of a previous instance that slows
+// down the next one.
+func TestGateKeepsToStatedRateLimit(t *testing.T) {
+	const callInterval, calls = 10 * time.Millisecond, 400
+	limited := hemlockcall.TargetStatement{RateLimit: hemlockcall.RateLimit{Stated: true, PerSecond: 5}}
+	// send offers calls for 4 s and returns how many reached the target.
+	send := func(t *testing.T, g *Gate, target *fakeTarget) int {
+		t.Helper()
+		before := target.count()
+		for range calls {
+			go func() { _, _ = g.Relay(t.Context(), newCall()) }()
+			time.Sleep(callInterval)
+		}
+		return target.count() - before
+	}
+	for _, c := range []struct {
+		name     string
+		change   func(g *Gate)
+		min, max int
+	}{
+		{"while it is stated", func(*Gate) {}, 18, 1.5*4*5 + 5},
+		{"after a response that says nothing about it", func(g *Gate) {
+			g.RecordStatement(time.Now(), "i", hemlockcall.TargetStatement{KeepsRateLimit: true})
+		}, 18, 1.5*4*5 + 5},
+		{"after a late response of a previous instance", func(g *Gate) {
+			g.RecordStatement(time.Now(), "previous", hemlockcall.TargetStatement{})
+		}, 18, 1.5*4*5 + 5},
+		{"not after it was revoked", func(g *Gate) {
+			g.RecordStatement(time.Now(), "i", hemlockcall.TargetStatement{})
+		}, calls, calls},
+		{"not for the next instance", func(g *Gate) {
+			g.SetState(time.Now(), TargetState{Service: "s", Instance: "next", Slots: 50, Ready: true})
+		}, calls, calls},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				target := &fakeTarget{}
+				g := newTestGate(target, 50)
+				if _, changed := g.RecordStatement(time.Now(), "i", limited); !changed {
+					t.Error("the first rate limit is no change, want one")
+				}
+				c.change(g)
+				if got := send(t, g, target); got < c.min || got > c.max {
+					t.Errorf("%d of %d calls reached the target in 4 s, want %d to %d", got, calls, c.min, c.max)
+				}
+			})
+		})
+	}
+	// Guards against entries that take a target at its rate limit for idle, because few of its slots are in use.
+	t.Run("reports its use as load", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			target := &fakeTarget{}
+			g := newTestGate(target, 50)
+			g.RecordStatement(time.Now(), "i", limited)
+			send(t, g, target)
+			if f := g.feedback(); f.Limit != 5 || f.InFlight < 4 {
+				t.Errorf("%d of %d in use, want at least 4 of 5", f.InFlight, f.Limit)
+			}
+		})
+	})
+}
