Keep a target's rate limit when the node beside it restarts

A target with a limit of 4 requests a second got 264 in 4 s after the node beside it had been restarted, where 29 are allowed.

Cause: only the gate knew the limit. A restarted gate admits calls to all slots of the target until the first response arrives. The entries that had passed on the limit keep sending; the restart of another node excuses nothing at them.

Change: the gate tells the entry of each call what its target states, with the instance and the start time of its process (TargetReport). The entry keeps the report by the address of the target, also while that is not listed, and sends it along with later calls. A restarted gate believes it until the target has responded. A report about another process is ignored and corrected.

Ruled out: the row of the node in the store. It would cost a write for each change of a limit and would be missing while the store is away.

TestRateLimitFarBelowTheNumberOfEntries replays 100 calls a second of 195 entries at six targets with a limit of 4, with and without restarts. Without mergeReport TestGateLearnsStatementsFromEntries fails.

--- a/hemlockadmission/controller.go
+++ b/hemlockadmission/controller.go
@@ -50,7 +50,7 @@
 	// queued requests as a fraction of it; 0 without a limit.
 	RateLimit hemlockcall.RateLimit `json:"rate-limit"`
 	RateLoad  float64               `json:"rate-load"`
-	Counters    Counters             `json:"counters"`
+	Counters  Counters              `json:"counters"`
 }
 
 // New returns a controller for a target with the given slots. The controller calls onDecided, outside the lock, once for
--- a/hemlockcall/relay.go
+++ b/hemlockcall/relay.go
@@ -42,6 +42,15 @@
 	Idempotent bool
 	// Fingerprint is equal for calls with the same content from the same service.
 	Fingerprint uint64
+	// TargetReport is what the entry node knows of the target that the call is sent to; without content in most calls.
+	TargetReport TargetReport
+}
+
+// WithTargetReport returns a copy with what the entry node knows of the target.
+func (r *RelayRequest) WithTargetReport(report TargetReport) *RelayRequest {
+	changed := *r
+	changed.TargetReport = report
+	return &changed
 }
 
 // WithRemaining returns a copy with the given remaining time.
--- a/hemlockcall/request.go
+++ b/hemlockcall/request.go
@@ -53,6 +53,9 @@
 	// Loads are the load reports of the reporting node on other services, most of them downstream of the called one in
 	// the call graph. The slice is not modified after it was set.
 	Loads []ServiceLoad
+	// Target is what the called node knows of its target's statements. It is without content unless the target states
+	// something or the call had a report.
+	Target TargetReport
 }
 
 // Response is the response to a Request.
--- a/hemlockpeer/head.go
+++ b/hemlockpeer/head.go
@@ -162,6 +162,7 @@
 		InFlight: uint32(max(feedback.InFlight, 0)),
 		Limit:    uint32(max(feedback.Limit, 0)),
 		Loads:    encodeLoads(feedback.Loads),
+		Target:   encodeTargetReport(feedback.Target),
 	}
 }
 
@@ -215,6 +216,7 @@
 		InFlight:      int(min(feedback.GetInFlight(), math.MaxInt32)),
 		Limit:         int(min(feedback.GetLimit(), math.MaxInt32)),
 		Loads:         decodeLoads(feedback.GetLoads()),
+		Target:        decodeTargetReport(feedback.GetTarget()),
 	}, nil
 }
 
--- a/hemlockpeer/parcel.go
+++ b/hemlockpeer/parcel.go
@@ -1,6 +1,7 @@
 package hemlockpeer
 
 import (
+	"math"
 	"time"
 
 	"hemlockhollow/hemlockcall"
@@ -24,6 +25,7 @@
 		Header: []byte(call.Header), RemainingMicroseconds: microseconds(call.Remaining),
 		Priority: uint32(call.Priority), Class: call.Class, Depth: uint32(call.Depth), Repeatable: call.Idempotent,
 		Fingerprint: call.Fingerprint, ObjectiveMicroseconds: microseconds(call.LatencyObjective),
+		Target: encodeTargetReport(call.TargetReport),
 	}
 }
 
@@ -38,6 +40,7 @@
 		Idempotent:       wire.GetRepeatable(),
 		Fingerprint:      wire.GetFingerprint(),
 		LatencyObjective: fromMicroseconds(wire.GetObjectiveMicroseconds()),
+		TargetReport:     decodeTargetReport(wire.GetTarget()),
 	}
 }
 
@@ -59,6 +62,24 @@
 	}, nil
 }
 
+func encodeTargetReport(report hemlockcall.TargetReport) *hemlockwire.TargetReport {
+	if report.Instance == "" {
+		return nil
+	}
+	return &hemlockwire.TargetReport{Instance: []byte(report.Instance), StartTime: report.StartTime,
+		Limited: report.RateLimit.Stated, PerSecond: report.RateLimit.PerSecond, Leaving: report.Leaving}
+}
+
+// decodeTargetReport returns a report without content if the name of the instance or the rate limit is out of range.
+func decodeTargetReport(wire *hemlockwire.TargetReport) hemlockcall.TargetReport {
+	perSecond := wire.GetPerSecond()
+	if len(wire.GetInstance()) > maxNameLength || math.IsNaN(perSecond) || perSecond < 0 || math.IsInf(perSecond, 0) {
+		return hemlockcall.TargetReport{}
+	}
+	return hemlockcall.TargetReport{Instance: string(wire.GetInstance()), StartTime: wire.GetStartTime(),
+		RateLimit: hemlockcall.RateLimit{Stated: wire.GetLimited(), PerSecond: perSecond}, Leaving: wire.GetLeaving()}
+}
+
 func microseconds(d time.Duration) uint64 {
 	return uint64(max(d, 0) / time.Microsecond)
 }
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -194,6 +194,9 @@
 func (a *attempts) send(ctx context.Context, address string) (*hemlockcall.RelayResponse, *hemlockcall.Refusal) {
 	started := time.Now()
 	call := a.call.WithRemaining(a.deadline.Sub(started) - peerDeadlineMargin)
+	if report := a.entry.selector.Report(address); report.Instance != "" {
+		call = call.WithTargetReport(report)
+	}
 	var response *hemlockcall.RelayResponse
 	var err error
 	if address == a.entry.self {
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -39,12 +39,14 @@
 	observer   Observer
 	// loadSource returns the loads of other services that the node knows, for the feedback of the gate.
 	loadSource func(now time.Time) []hemlockcall.ServiceLoad
+	// onReport is called without the lock.
+	onReport func(report hemlockcall.TargetReport, source ReportSource)
 
 	// mutex is locked before the mutex of the controller.
 	mutex sync.Mutex
 	state TargetState
-	// statement is what the current instance of the target has stated last.
-	statement hemlockcall.TargetStatement
+	// statements is about the process of state.
+	statements statements
 	// lateCallCheckScheduled is set while a timer runs that refuses late calls in the queue.
 	lateCallCheckScheduled bool
 }
@@ -55,6 +57,8 @@
 	Service string
 	// Instance identifies the target's process; a restarted process may have the same one.
 	Instance string
+	// StartTime distinguishes processes with the same instance; 0 means unknown.
+	StartTime uint64
 	// Slots is the number of requests that the target runs at the same time.
 	Slots int
 	// Ready is false for a target that is leaving, deregistered, unreachable, unknown or without slots. It then gets no
@@ -63,9 +67,13 @@
 }
 
 // NewGate returns a gate whose target is still unknown; see SetState.
-func NewGate(target hemlockcall.Relayer, suspects *hemlocksuspect.Table, observer Observer) *Gate {
+func NewGate(target hemlockcall.Relayer, suspects *hemlocksuspect.Table, observer Observer, options ...GateOption) *Gate {
 	g := &Gate{target: target, suspects: suspects, observer: observer,
-		loadSource: func(time.Time) []hemlockcall.ServiceLoad { return nil }}
+		loadSource: func(time.Time) []hemlockcall.ServiceLoad { return nil },
+		onReport:   func(hemlockcall.TargetReport, ReportSource) {}}
+	for _, o := range options {
+		o(g)
+	}
 	g.controller = hemlockadmission.New(0, func(t *hemlockadmission.Ticket[*waiter]) { close(t.Value.decided) },
 		hemlockadmission.WithQueueFactor(queueFactor),
 		// Entries refuse less important call trees before they start; a priority hold here would fail trees that were
@@ -96,9 +104,7 @@
 	g.mutex.Lock()
 	old := g.state
 	g.state = state
-	if old.Instance != state.Instance {
-		g.applyStatement(now, hemlockcall.TargetStatement{})
-	}
+	g.resetStatements(now, state)
 	g.mutex.Unlock()
 	if old.Instance != state.Instance && old.Ready {
 		g.controller.SetSlots(now, 0) // a new process: the queued calls were meant for the previous one
@@ -125,11 +131,12 @@
 		defer cancel()
 		ctx = deadlineContext
 	}
+	g.mergeReport(arrival, call.TargetReport)
 	ticket, err := g.admit(ctx, arrival, call)
 	if err != nil {
 		refusal := hemlockcall.AsRefusal(err)
 		g.observer.Refused(SideGate, call, refusal, time.Since(arrival))
-		return nil, refusal.WithFeedback(g.feedback())
+		return nil, refusal.WithFeedback(g.feedback(call))
 	}
 	started := time.Now()
 	response, err := g.run(ctx, call, arrival)
@@ -139,20 +146,22 @@
 	if err != nil {
 		refusal := hemlockcall.AsRefusal(err)
 		g.observer.Refused(SideGate, call, refusal, ended.Sub(arrival))
-		return nil, refusal.WithFeedback(g.feedback())
+		return nil, refusal.WithFeedback(g.feedback(call))
 	}
 	response.ServiceTime = ended.Sub(started)
-	response.Feedback = g.feedback()
+	response.Feedback = g.feedback(call)
 	g.observer.Answered(SideGate, call, response, ended.Sub(arrival))
 	return response, nil
 }
 
-// feedback returns the load of the gate, including queued calls, and the loads of other services.
-func (g *Gate) feedback() hemlockcall.Feedback {
+// feedback returns the load of the gate, including queued calls, the loads of other services, and the statements of the
+// target.
+func (g *Gate) feedback(call *hemlockcall.RelayRequest) hemlockcall.Feedback {
 	now := time.Now()
 	s := g.controller.Snapshot(now)
 	inUse, limit := loadOf(s)
-	return hemlockcall.Feedback{MinPriority: s.MinPriority, InFlight: inUse, Limit: limit, Loads: g.loadSource(now)}
+	return hemlockcall.Feedback{MinPriority: s.MinPriority, InFlight: inUse, Limit: limit, Loads: g.loadSource(now),
+		Target: g.reportFor(call)}
 }
 
 // admit waits until the call may run, or returns a refusal. The caller must pass the ticket to Finish.
--- a/hemlockrelay/statement.go
+++ b/hemlockrelay/statement.go
@@ -8,30 +8,103 @@
 	"hemlockhollow/hemlockcall"
 )
 
+// statements is what a gate knows of the statements of its target's current process.
+type statements struct {
+	// report has the instance and the start time of the process.
+	report hemlockcall.TargetReport
+	// heard is set once the process has responded to this node. The reports of other nodes are then outdated.
+	heard bool
+}
+
+// GateOption configures a Gate.
+type GateOption func(*Gate)
+
+// WithOnReport sets a callback for changes of what is known of the target's statements. The source is the one of the change.
+// The callback must not block.
+func WithOnReport(callback func(report hemlockcall.TargetReport, source ReportSource)) GateOption {
+	return func(g *Gate) { g.onReport = callback }
+}
+
+// ReportSource says from whom a gate knows a statement of its target.
+type ReportSource string
+
+// The sources of reports.
+const (
+	// SourceTarget is a response of the target to this node.
+	SourceTarget ReportSource = "target"
+	// SourceEntry is the entry of a call, which passed on a response of the target before this node was started.
+	SourceEntry ReportSource = "entry"
+)
+
 // RecordStatement applies what the target has stated in a response. A statement of another instance than the current one is
-// ignored. It returns what the target states now, and whether that has changed.
-func (g *Gate) RecordStatement(now time.Time, instance string, statement hemlockcall.TargetStatement,
-) (hemlockcall.TargetStatement, bool) {
+// ignored.
+func (g *Gate) RecordStatement(now time.Time, instance string, statement hemlockcall.TargetStatement) {
 	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if instance != g.state.Instance {
-		return g.statement, false
+	report := g.statements.report
+	if instance != report.Instance {
+		g.mutex.Unlock()
+		return
+	}
+	g.statements.heard = true
+	if !statement.KeepsRateLimit {
+		report.RateLimit = statement.RateLimit
+	}
+	report.Leaving = report.Leaving || statement.Leaving
+	g.applyReport(now, report, SourceTarget)
+}
+
+// mergeReport applies what the entry of a call knows of the target's statements, unless the target has responded to this node
+// or the report is about another process. A process that leaves does not become ready again, so that statement always applies.
+func (g *Gate) mergeReport(now time.Time, known hemlockcall.TargetReport) {
+	if !known.StatesAnything() {
+		return
+	}
+	g.mutex.Lock()
+	report := g.statements.report
+	if !known.IsAbout(report.Instance, report.StartTime) {
+		g.mutex.Unlock()
+		return
+	}
+	if !g.statements.heard && known.RateLimit.Stated {
+		report.RateLimit = known.RateLimit
+	}
+	report.Leaving = report.Leaving || known.Leaving
+	g.applyReport(now, report, SourceEntry)
+}
+
+// applyReport is called with the lock held, and releases it.
+func (g *Gate) applyReport(now time.Time, report hemlockcall.TargetReport, source ReportSource) {
+	changed := report != g.statements.report
+	g.statements.report = report
+	if changed {
+		g.controller.SetRateLimit(now, report.RateLimit)
+	}
+	g.mutex.Unlock()
+	if changed {
+		g.onReport(report, source)
 	}
-	if statement.KeepsRateLimit {
-		statement.RateLimit, statement.KeepsRateLimit = g.statement.RateLimit, false
+}
+
+// resetStatements forgets the statements of a previous process. It is called with the lock held.
+func (g *Gate) resetStatements(now time.Time, state TargetState) {
+	report := &g.statements.report
+	if report.IsAbout(state.Instance, state.StartTime) {
+		report.StartTime = max(report.StartTime, state.StartTime)
+		return
 	}
-	return statement, g.applyStatement(now, statement)
+	g.statements = statements{report: hemlockcall.TargetReport{Instance: state.Instance, StartTime: state.StartTime}}
+	g.controller.SetRateLimit(now, hemlockcall.RateLimit{})
 }
 
-// applyStatement reports whether the statement has changed. It is called with the lock held, which is locked before that of the
-// controller.
-func (g *Gate) applyStatement(now time.Time, statement hemlockcall.TargetStatement) bool {
-	if statement == g.statement {
-		return false
+// reportFor returns what the entry of a call is told of the target's statements: nothing if there are none, unless the entry
+// has to correct what it knows.
+func (g *Gate) reportFor(call *hemlockcall.RelayRequest) hemlockcall.TargetReport {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if report := g.statements.report; report.StatesAnything() || call.TargetReport.Instance != "" {
+		return report
 	}
-	g.statement = statement
-	g.controller.SetRateLimit(now, statement.RateLimit)
-	return true
+	return hemlockcall.TargetReport{}
 }
 
 // loadOf returns the load to report: the calls running or queued and the concurrency limit, or, where the rate limit leaves
--- a/hemlockrelay/target_tracker.go
+++ b/hemlockrelay/target_tracker.go
@@ -69,17 +69,17 @@
 // target before the next announcement. The tracker does not keep this state. Once an announcement was applied, or if
 // the instance is empty, ApplyHealthCheck ignores the health check and returns the state by the announcements, and
 // false.
-func (t *TargetTracker) ApplyHealthCheck(instance, service string, slots int) (TargetState, bool) {
+func (t *TargetTracker) ApplyHealthCheck(instance string, startTime uint64, service string, slots int) (TargetState, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.last.Instance != "" || instance == "" {
 		return t.state(), false
 	}
-	return TargetState{Service: service, Instance: instance, Slots: slots, Ready: true}, true
+	return TargetState{Service: service, Instance: instance, StartTime: startTime, Slots: slots, Ready: true}, true
 }
 
 func (t *TargetTracker) state() TargetState {
-	return TargetState{Service: t.last.Service, Instance: t.last.Instance, Slots: t.last.Slots,
+	return TargetState{Service: t.last.Service, Instance: t.last.Instance, StartTime: t.last.StartTime, Slots: t.last.Slots,
 		Ready: t.last.Instance != "" && !t.leaving && !t.unreachable && t.last.Slots > 0}
 }
 
--- a/hemlockselection/selector.go
+++ b/hemlockselection/selector.go
@@ -34,8 +34,14 @@
 	mutex   sync.Mutex
 	entries map[string]*entry // by address
 	groups  map[string]*group // by service
+	// reports holds, by address, the reports that state something; at most maxReports that belong to no entry.
+	reports map[string]hemlockcall.TargetReport
 }
 
+// maxReports limits the reports about targets that are not listed. Such a target may be listed again after its node was
+// restarted.
+const maxReports = 1024
+
 // group holds the targets of one service, in the order of their addresses.
 type group struct {
 	own   []*entry // in the zone of this node
@@ -44,7 +50,8 @@
 
 // New returns a Selector without targets for a node in the given zone. Random returns a number in [0,n).
 func New(zone string, random func(n int) int) *Selector {
-	return &Selector{zone: zone, random: random, entries: map[string]*entry{}, groups: map[string]*group{}}
+	return &Selector{zone: zone, random: random, entries: map[string]*entry{}, groups: map[string]*group{},
+		reports: map[string]hemlockcall.TargetReport{}}
 }
 
 // Replace replaces the list of targets. The state of a target is kept unless its service or its generation has changed:
@@ -82,6 +89,27 @@
 		}
 	}
 	s.entries, s.groups = entries, groups
+	s.dropReports()
+}
+
+// dropReports removes the reports about targets that are not listed if there are more than maxReports of them. It is called
+// with the lock held.
+func (s *Selector) dropReports() {
+	if len(s.reports) <= maxReports+len(s.entries) {
+		return
+	}
+	for address := range s.reports {
+		if s.entries[address] == nil {
+			delete(s.reports, address)
+		}
+	}
+}
+
+// Report returns what is known of the statements of the target at an address; a report without content if it states nothing.
+func (s *Selector) Report(address string) hemlockcall.TargetReport {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reports[address]
 }
 
 // Pick chooses a target whose address is not in tried, and counts the call as in flight until Done or Release. The
@@ -118,6 +146,11 @@
 func (s *Selector) Done(now time.Time, address string, r Result) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if report := r.Feedback.Target; report.StatesAnything() {
+		s.reports[address] = report
+	} else if report.Instance != "" {
+		delete(s.reports, address)
+	}
 	if e := s.entries[address]; e != nil {
 		e.recordResult(now, r)
 	}
