Send no new calls to a target whose responses say that it is leaving

A target that says in its responses that it is leaving went on receiving all calls until it announced that too, and again after the node beside it was restarted: an announcement that is late says that it is ready.

Cause: only announcements made a target leave. A target may say so in a response first; announcements may be delayed by seconds or lost, and a restarted node has not heard the earlier ones.

Change: the gate refuses calls from the first such response on. The statement is part of the report that entries keep and send along, so a restarted gate refuses their calls before it has called the target. A new process with the same instance has another start time and is not affected.

TestTargetTrackerKeepsStatedLeaving is new.

--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -205,9 +205,11 @@
 
 // checkTarget returns a refusal if the target is not ready or runs another service than the called one.
 func (g *Gate) checkTarget(call *hemlockcall.RelayRequest) error {
-	state := g.State()
+	g.mutex.Lock()
+	state, leaving := g.state, g.statements.report.Leaving
+	g.mutex.Unlock()
 	switch {
-	case !state.Ready:
+	case !state.Ready || leaving:
 		return hemlockcall.Refuse(hemlockcall.ReasonLeaving, "the target is leaving, deregistered, unreachable or unknown")
 	case state.Service != call.Service:
 		return hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "the target runs another service")
--- a/hemlockrelay/statement_test.go
+++ b/hemlockrelay/statement_test.go
@@ -38,6 +38,8 @@
 		want   hemlockcall.TargetReport
 	}{
 		{"a rate limit", func(*Gate) {}, reportOf(limitedToFive, false), reportOf(limitedToFive, false)},
+		{"that the target is leaving", func(*Gate) {}, reportOf(hemlockcall.RateLimit{}, true),
+			reportOf(hemlockcall.RateLimit{}, true)},
 		{"no rate limit after the target has responded", func(g *Gate) {
 			g.RecordStatement(time.Now(), "i", hemlockcall.TargetStatement{RateLimit: otherLimit})
 		}, reportOf(limitedToFive, false), reportOf(otherLimit, false)},
--- a/hemlockrelay/target_tracker.go
+++ b/hemlockrelay/target_tracker.go
@@ -66,7 +66,7 @@
 }
 
 // ApplyHealthCheck returns the state of the target according to a health check, so that a restarted node knows its
-// target before the next announcement. The tracker does not keep this state. Once an announcement was applied, or if
+// target before the next announcement. A start time of 0 means unknown. The tracker does not keep this state. Once an announcement was applied, or if
 // the instance is empty, ApplyHealthCheck ignores the health check and returns the state by the announcements, and
 // false.
 func (t *TargetTracker) ApplyHealthCheck(instance string, startTime uint64, service string, slots int) (TargetState, bool) {
@@ -78,6 +78,22 @@
 	return TargetState{Service: service, Instance: instance, StartTime: startTime, Slots: slots, Ready: true}, true
 }
 
+// MarkLeaving records that the process of the given state is leaving, although it has not announced that. It returns the state
+// of the target, and false if another process has announced itself.
+func (t *TargetTracker) MarkLeaving(state TargetState) (TargetState, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	switch {
+	case t.last.Instance == "":
+		// The target is known by a health check only.
+		t.last = Announcement{Instance: state.Instance, StartTime: state.StartTime, Service: state.Service, Slots: state.Slots}
+	case t.last.Instance != state.Instance || t.last.StartTime != state.StartTime:
+		return t.state(), false
+	}
+	t.leaving = true
+	return t.state(), true
+}
+
 func (t *TargetTracker) state() TargetState {
 	return TargetState{Service: t.last.Service, Instance: t.last.Instance, StartTime: t.last.StartTime, Slots: t.last.Slots,
 		Ready: t.last.Instance != "" && !t.leaving && !t.unreachable && t.last.Slots > 0}
--- a/hemlockrelay/target_tracker_test.go
+++ b/hemlockrelay/target_tracker_test.go
@@ -56,3 +56,40 @@
 		}
 	})
 }
+
+// Guards against a target that is ready again after it stated in a response that it is leaving, and against one that is unused
+// because its previous process stated that.
+func TestTargetTrackerKeepsStatedLeaving(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// announced precedes the statement; without an instance, the target is known by a health check only.
+		announced, next Announcement
+		ready           bool
+	}{
+		{"over later announcements", announcement("a", 1, 1), announcement("a", 1, 2), false},
+		{"before the first announcement", Announcement{}, announcement("a", 1, 2), false},
+		{"not for a new process with the same instance", announcement("a", 1, 1), announcement("a", 2, 1), true},
+		{"not for another instance", announcement("a", 1, 1), announcement("b", 2, 1), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var tracker TargetTracker
+			if c.announced.Instance != "" {
+				tracker.Apply(c.announced)
+			}
+			stated := TargetState{Service: "s", Instance: "a", StartTime: 1, Slots: 5, Ready: true}
+			if state, applied := tracker.MarkLeaving(stated); !applied || state.Ready || state.Slots != 5 {
+				t.Errorf("state %+v, applied %t, want it applied and not ready, with the slots", state, applied)
+			}
+			if state, _ := tracker.Apply(c.next); state.Ready != c.ready {
+				t.Errorf("state %+v after the next announcement, want ready %t", state, c.ready)
+			}
+		})
+	}
+	t.Run("not after another process has announced itself", func(t *testing.T) {
+		var tracker TargetTracker
+		tracker.Apply(announcement("b", 2, 1))
+		if state, applied := tracker.MarkLeaving(TargetState{Instance: "a", StartTime: 1}); applied || !state.Ready {
+			t.Errorf("state %+v, applied %t, want it unchanged", state, applied)
+		}
+	})
+}
--- a/hemlockselection/target.go
+++ b/hemlockselection/target.go
@@ -81,7 +81,7 @@
 type entry struct {
 	target   hemlockcall.Target
 	inFlight int  // calls of this node that have not ended
-	leaving  bool // refused a call as leaving; until Replace lists another process at its address
+	leaving  bool // refused a call as leaving, or stated that it leaves; until Replace lists another process at its address
 
 	feedback   hemlockcall.Feedback
 	feedbackAt time.Time // zero without feedback
@@ -158,6 +158,7 @@
 	if r.Feedback.Limit > 0 {
 		e.feedback, e.feedbackAt, e.inFlightAtFeedback = r.Feedback, now, e.inFlight
 	}
+	e.leaving = e.leaving || r.Feedback.Target.Leaving
 	switch r.Outcome {
 	case Completed:
 		e.updateFailures(now, 0)
