Keep the saved retries of many nodes within the shared limit

A service with little traffic in a large deployment could receive far more retries than the limit for all nodes allows: 195 for 200 requests in 10 s, where 88 are allowed, at 195 nodes with a slack of 48; 200 at 1,500 nodes.

Each node may save one whole token for each service, however small its part of the slack is, and nodes that saved one during hours without a fault spend them together when the service fails.

Change: all nodes together save at most half of the slack. A node whose part is less than one token spends what it has and allows the retry with that probability. With 15 nodes nothing changes.

Ruled out: rounding the part down, which would leave such nodes without any retry.

Test: TestSavedRetriesOfManyNodesStayWithinLimit failed before with 195 and 200 retries. The property test of the budget draws up to 85 nodes and starts without saved tokens, so it could not find this.

--- a/hemlockretry/service_retry_budget.go
+++ b/hemlockretry/service_retry_budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 	// slackFraction is the fraction of the slack that all nodes use in a window, for the same reason: one retry at the first
 	// level can cause several at the deepest one.
 	slackFraction = 0.2
+	// savedSlackFraction is the fraction of the slack that all nodes together may have saved. A node with little traffic may
+	// save a whole token only while its part of that is one.
+	savedSlackFraction = 0.5
 	// accrualTime limits the saved tokens to those that first attempts earn in this time. They allow retries for some seconds
 	// when all targets of a service fail together. The tokens that are saved and earned in one window stay within 0.6 of the
 	// allowed ratio.
@@ -48,6 +52,8 @@
 // part of the slack, without communication between the nodes. ServiceRetryBudget is safe for concurrent use.
 type ServiceRetryBudget struct {
 	limit ServiceRetryLimit
+	// random returns a number in [0,1).
+	random func() float64
 
 	mutex    sync.Mutex
 	nodes    int // at least 1
@@ -81,9 +87,21 @@
 	return t.recentAttempts / rateTimeConstant.Seconds(), (t.currentHalf + t.previousHalf) / window.Seconds()
 }
 
+// ServiceRetryOption configures a ServiceRetryBudget.
+type ServiceRetryOption func(*ServiceRetryBudget)
+
+// WithRandom sets the source of random numbers in [0,1).
+func WithRandom(random func() float64) ServiceRetryOption {
+	return func(b *ServiceRetryBudget) { b.random = random }
+}
+
 // NewServiceRetryBudget returns the budget of a single node; see SetNodes.
-func NewServiceRetryBudget(limit ServiceRetryLimit) *ServiceRetryBudget {
-	return &ServiceRetryBudget{limit: limit, nodes: 1, services: map[string]*serviceTokens{}}
+func NewServiceRetryBudget(limit ServiceRetryLimit, options ...ServiceRetryOption) *ServiceRetryBudget {
+	b := &ServiceRetryBudget{limit: limit, nodes: 1, services: map[string]*serviceTokens{}, random: rand.Float64}
+	for _, o := range options {
+		o(b)
+	}
+	return b
 }
 
 // SetNodes sets the number of nodes that share the slack. It may be inexact because only a fraction of the slack is used.
@@ -104,23 +122,32 @@
 }
 
 // Spend takes a token for one retry at a service and reports whether there was one that is not reserved for calls of a
-// higher priority.
+// higher priority. Where a node may save less than one token, it spends the unreserved part of what it has saved and allows
+// the retry with that probability, so that many nodes with little traffic stay within the limit together.
 func (b *ServiceRetryBudget) Spend(now time.Time, service string, priority hemlockcall.Priority) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	t := b.refill(now, service)
-	if t.tokens < 1+reservedFractions[priority]*(b.maxTokens(t)-1) {
+	most := b.maxTokens(t)
+	if most < 1 {
+		chance := t.tokens * (1 - reservedFractions[priority])
+		t.tokens -= chance
+		return b.random() < chance
+	}
+	if t.tokens < 1+reservedFractions[priority]*(most-1) {
 		return false
 	}
 	t.tokens--
 	return true
 }
 
-// maxTokens returns the limit on the saved tokens of a service; at least 1.
+// maxTokens returns the limit on the saved tokens of a service. It is at least 1 unless the part of a node in the slack is too
+// small.
 func (b *ServiceRetryBudget) maxTokens(t *serviceTokens) float64 {
+	saved := min(1, b.limit.Slack*savedSlackFraction/float64(b.nodes))
 	slack := b.limit.Slack * slackFraction / float64(b.nodes)
 	current, average := t.rates(b.limit.Window)
-	return max(1, slack, b.limit.Ratio*ratioFraction*max(current, average)*accrualTime.Seconds())
+	return max(saved, slack, b.limit.Ratio*ratioFraction*max(current, average)*accrualTime.Seconds())
 }
 
 // refill adds the tokens that a service has earned since the last call and returns its bucket. It is called with the lock
--- a/hemlockretry/service_retry_budget_test.go
+++ b/hemlockretry/service_retry_budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -154,3 +155,37 @@
 		t.Errorf("%d retries, want at least 1.3 times the %.0f that were earned during the fault", total, earned)
 	}
 }
+
+// Guards against retries that many nodes have saved while all was well and spend together when a service with little traffic
+// fails.
+func TestSavedRetriesOfManyNodesStayWithinLimit(t *testing.T) {
+	limit := ServiceRetryLimit{Ratio: 0.2, Slack: 48, Window: 10 * time.Second}
+	for _, nodes := range []int{15, 195, 1500} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			now := time.Unix(1000, 0)
+			budgets := make([]*ServiceRetryBudget, nodes)
+			for i := range budgets {
+				budgets[i] = NewServiceRetryBudget(limit, WithRandom(random.Float64))
+				budgets[i].SetNodes(nodes)
+				for range 100 {
+					budgets[i].RecordFirstAttempt(now, "s")
+				}
+			}
+			now = now.Add(time.Hour)
+			const failedRequests = 200 // in one window
+			retries := 0
+			for i := range failedRequests {
+				now = now.Add(limit.Window / failedRequests)
+				b := budgets[i%nodes]
+				b.RecordFirstAttempt(now, "s")
+				if b.Spend(now, "s", hemlockcall.Critical) {
+					retries++
+				}
+			}
+			if most := limit.Ratio*failedRequests + limit.Slack; float64(retries) > most || retries == 0 {
+				t.Errorf("%d retries for %d first attempts of %d nodes, want 1 to %.0f", retries, failedRequests, nodes, most)
+			}
+		})
+	}
+}
