Let entries offer calls to limited targets by what their limit leaves

Cause: an entry of a large deployment has a call for a given target every few seconds. Its view of the target's load is older than a second, so a limited target looked as idle as any other. The queue also held a call for up to a second or two under limits below 4 a second, until it was late.

Change: without recent feedback, an entry passes over a limited target at random, in proportion to what the limit leaves of its capacity. A refusal that tells the entry of a limit does not count towards the targets that a call may try. A call is queued only if the limit admits it within 250 ms.

--- a/hemlockadmission/decision.go
+++ b/hemlockadmission/decision.go
@@ -14,12 +14,12 @@
 }
 
 // maxQueued returns the maximum number of queued tickets.
-func (c *Controller[T]) maxQueued() int {
+func (c *Controller[T]) maxQueued(now time.Time) int {
 	size := int(float64(c.limit.slots) * c.settings.queueFactor)
 	if c.settings.queueSize > 0 {
 		size = c.settings.queueSize
 	}
-	if paced, limited := c.rate.maxQueued(); limited {
+	if paced, limited := c.rate.maxQueued(now); limited {
 		return min(size, paced)
 	}
 	return size
@@ -27,7 +27,7 @@
 
 // trimQueue refuses the last queued tickets until no more than maxQueued are left.
 func (c *Controller[T]) trimQueue(now time.Time, decided *[]*Ticket[T]) {
-	for c.queued() > c.maxQueued() {
+	for c.queued() > c.maxQueued(now) {
 		last := c.last()
 		c.queueOf(last).remove(last)
 		c.refuseForLoad(now, last, decided)
@@ -134,7 +134,7 @@
 // enqueue queues a ticket. If the queue is full, the ticket displaces the last one in the service order; if it would be the
 // last one itself or Displacement is disabled, it is refused.
 func (c *Controller[T]) enqueue(now time.Time, t *Ticket[T], decided *[]*Ticket[T]) {
-	if c.queued() >= c.maxQueued() {
+	if c.queued() >= c.maxQueued(now) {
 		last := c.last()
 		if last == nil || c.settings.disabled[Displacement] || !t.ranksBefore(last, c.order()) {
 			c.refuseForLoad(now, t, decided)
--- a/hemlockadmission/rate.go
+++ b/hemlockadmission/rate.go
@@ -84,9 +84,13 @@
 	}
 }
 
-// maxQueued returns the largest useful queue under the limit, or false if there is no limit.
-func (r *rateLimiter) maxQueued() (int, bool) {
-	return int(math.Ceil(r.perSecond() * rateQueueTime.Seconds())), r.limit.Stated
+// maxQueued returns how many requests will be admitted within rateQueueTime, or false if there is no limit.
+func (r *rateLimiter) maxQueued(now time.Time) (int, bool) {
+	if !r.limit.Stated {
+		return 0, false
+	}
+	r.refill(now)
+	return int(r.tokens + r.perSecond()*rateQueueTime.Seconds()), true
 }
 
 // load returns the admitted and queued requests as a fraction of what the limit allows; 0 without a limit.
--- a/hemlockadmission/rate_test.go
+++ b/hemlockadmission/rate_test.go
@@ -160,6 +160,16 @@
 	}
 }
 
+// Guards against a request that waits for a limited target, until it is late, although the target admits none in time.
+func TestRateLimitRefusesWhatWouldWaitTooLong(t *testing.T) {
+	l := newPacedLoad()
+	l.controller.SetRateLimit(l.now, limitOf(0.5))
+	refused := l.offer(hemlockcall.Critical)
+	if refusal := refused.Refusal(); refusal == nil || refusal.Verdict != hemlockcall.VerdictNotRun {
+		t.Errorf("refusal %v of a request that would wait 2 s, want one with the verdict not-run", refusal)
+	}
+}
+
 // Guards against requests that wait for seconds in the queue of a limited target while other targets are free.
 func TestRateLimitShortensQueue(t *testing.T) {
 	l := newPacedLoad()
@@ -175,7 +185,10 @@
 func TestRateLimitEndsWhenTargetStatesNone(t *testing.T) {
 	l := newPacedLoad()
 	l.controller.SetRateLimit(l.now, limitOf(1))
-	l.offer(hemlockcall.Important)
+	l.pass(800 * time.Millisecond)
+	if waiting := l.offer(hemlockcall.Important); !waiting.Queued || waiting.Admitted() {
+		t.Error("the request does not wait, want it queued until the limit allows it")
+	}
 	l.controller.SetRateLimit(l.now, hemlockcall.RateLimit{})
 	for range 50 {
 		l.offer(hemlockcall.Important)
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -15,7 +15,8 @@
 
 const (
 	// maxReroutes limits how often a call goes to another target after a node refused it without sending it to its
-	// target: after such a refusal, a call that was sent to more than maxReroutes targets is not retried.
+	// target: after such a refusal, a call that was sent to more than maxReroutes targets is not retried. Targets whose rate
+	// limit the entry did not know before do not count.
 	maxReroutes = 3
 	// maxTargetAttempts limits how many attempts of a call may reach a target. Where all targets of a service refuse half
 	// of their calls at random, 15 calls in 16 are accepted within four attempts. It also limits the retries at addresses
@@ -141,6 +142,10 @@
 	reached []string
 	// targetAttempts counts the attempts that may have reached a target.
 	targetAttempts int
+	// limitKnown is set if this node knew a rate limit of the last chosen target before the attempt.
+	limitKnown bool
+	// newlyLimited counts the refused attempts at targets whose rate limit this node did not know before.
+	newlyLimited int
 	// retryAddress is the last address whose target declared that it had not run the call; empty before that.
 	retryAddress string
 	// sameTargetRetries counts the attempts at an address that was tried before. It is limited separately, because
@@ -183,6 +188,7 @@
 	if len(a.reached) < a.maxTargets {
 		if target, err := a.entry.selector.Pick(now, a.call.Service, a.tried); err == nil {
 			a.tried = append(a.tried, target.Address)
+			a.limitKnown = a.entry.selector.Report(target.Address).RateLimit.Stated
 			return target.Address, true
 		}
 	}
@@ -267,7 +273,10 @@
 		return false
 	}
 	if refusal.Verdict == hemlockcall.VerdictNotRun && !refusal.ReachedTarget {
-		return len(a.tried) <= maxReroutes
+		if refusal.Feedback.Target.RateLimit.Stated && !a.limitKnown {
+			a.newlyLimited++
+		}
+		return len(a.tried) <= maxReroutes+a.newlyLimited
 	}
 	// The call may have reached a target. Another attempt is therefore charged to the retry budget of the service, which
 	// limits the retries of all nodes together.
--- a/hemlockrelay/statement_test.go
+++ b/hemlockrelay/statement_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -82,8 +83,8 @@
 	arrivals []time.Time
 }
 
-func newLimitedTarget(perSecond float64) *limitedTarget {
-	l := &limitedTarget{limit: hemlockcall.RateLimit{Stated: true, PerSecond: perSecond}}
+func newLimitedTarget(limit hemlockcall.RateLimit) *limitedTarget {
+	l := &limitedTarget{limit: limit}
 	l.restartNode()
 	return l
 }
@@ -107,21 +108,28 @@
 type limitedFleet struct {
 	targets map[string]*limitedTarget
 	entries []*Entry
+	// refused counts the attempts that gates refused.
+	refused atomic.Int64
 }
 
 // Relay implements PeerTransport.
 func (f *limitedFleet) Relay(ctx context.Context, address string, call *hemlockcall.RelayRequest,
 ) (*hemlockcall.RelayResponse, error) {
 	time.Sleep(time.Millisecond)
-	return f.targets[address].gate.Load().Relay(ctx, call)
+	response, err := f.targets[address].gate.Load().Relay(ctx, call)
+	if err != nil {
+		f.refused.Add(1)
+	}
+	return response, err
 }
 
-func newLimitedFleet(entries, targets int, perSecond float64) *limitedFleet {
+// newLimitedFleet returns a fleet with one target for each of the limits.
+func newLimitedFleet(entries int, limits []hemlockcall.RateLimit) *limitedFleet {
 	f := &limitedFleet{targets: map[string]*limitedTarget{}}
 	var listed []hemlockcall.Target
-	for i := range targets {
+	for i, limit := range limits {
 		address := fmt.Sprint("target-", i)
-		f.targets[address] = newLimitedTarget(perSecond)
+		f.targets[address] = newLimitedTarget(limit)
 		listed = append(listed, hemlockcall.Target{Address: address, Zone: "a", Service: "s", Slots: 24, Ready: true})
 	}
 	state := uint32(1)
@@ -182,7 +190,7 @@
 	}{{"steady", false}, {"with restarts", true}} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newLimitedFleet(entries, targets, perSecond)
+				f := newLimitedFleet(entries, slices.Repeat([]hemlockcall.RateLimit{{Stated: true, PerSecond: perSecond}}, targets))
 				f.send(t, 100, 4*time.Second)
 				since := time.Now()
 				var answered int
@@ -205,3 +213,22 @@
 		})
 	}
 }
+
+// Guards against calls that are refused, or wait, at limited targets while others are idle, in a deployment in which each entry
+// has a call for a given target every few seconds and so knows no recent load.
+func TestCallsAvoidLimitedTargetsWhileOthersAreIdle(t *testing.T) {
+	const entries, calls, perSecond = 195, 1200, 100
+	limits := append(slices.Repeat([]hemlockcall.RateLimit{{Stated: true, PerSecond: 1}}, 12), make([]hemlockcall.RateLimit, 6)...)
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitedFleet(entries, limits)
+		f.send(t, perSecond, 20*time.Second) // entries learn the limits
+		before := f.refused.Load()
+		answered := f.send(t, perSecond, calls/perSecond*time.Second)
+		if answered != calls {
+			t.Errorf("%d of %d calls answered, want all", answered, calls)
+		}
+		if refused := f.refused.Load() - before; refused > calls/20 {
+			t.Errorf("%d attempts of %d calls refused by limited targets, want at most one in 20 calls", refused, calls)
+		}
+	})
+}
--- a/hemlockselection/selector.go
+++ b/hemlockselection/selector.go
@@ -71,6 +71,7 @@
 			e = fresh
 		}
 		e.target = target
+		e.rateLimit = s.reports[target.Address].RateLimit
 		entries[target.Address] = e
 		g := groups[target.Service]
 		if g == nil {
@@ -152,6 +153,7 @@
 		delete(s.reports, address)
 	}
 	if e := s.entries[address]; e != nil {
+		e.rateLimit = s.reports[address].RateLimit
 		e.recordResult(now, r)
 	}
 }
@@ -167,7 +169,8 @@
 
 // The methods below are called with the lock held.
 
-// choose returns nil if no target is eligible. Unreachable targets are chosen only if there is no other.
+// choose returns nil if no target is eligible. Unreachable targets, and rate-limited ones that are passed over, are chosen only
+// if there is no other.
 func (s *Selector) choose(now time.Time, g *group, tried []string) *entry {
 	own := s.betterOfTwo(now, g.own, tried, true)
 	if own != nil && own.load(now) < localLoadLimit && own.failureFraction(now) < maxFailureFraction && !own.isSlow(g) {
@@ -194,8 +197,8 @@
 
 // betterOfTwo returns the one of two random eligible targets with the shorter expected time, or nil if none is
 // eligible. If it returned the best of all, all nodes with the same feedback would send their calls to one target. With
-// reachable set, it skips unreachable targets.
-func (s *Selector) betterOfTwo(now time.Time, entries []*entry, tried []string, reachable bool) *entry {
+// preferred set, it skips unreachable targets and passes over rate-limited ones.
+func (s *Selector) betterOfTwo(now time.Time, entries []*entry, tried []string, preferred bool) *entry {
 	var first, second *entry
 	if len(entries) == 0 {
 		return nil
@@ -203,7 +206,7 @@
 	start := s.random(len(entries))
 	for i := range entries {
 		e := entries[(start+i)%len(entries)]
-		if !e.eligible(tried) || reachable && now.Before(e.unreachableUntil) {
+		if !e.eligible(tried) || preferred && (now.Before(e.unreachableUntil) || s.passesOver(now, e)) {
 			continue
 		}
 		if first == nil {
@@ -225,6 +228,14 @@
 	return first
 }
 
+// passesOver decides at random to skip a rate-limited target, so that limited and other targets get calls in proportion to what
+// they accept. Recent feedback says more, because it includes the calls of other nodes. In a large deployment, a node that has
+// a call for a target every few seconds has no recent feedback.
+func (s *Selector) passesOver(now time.Time, e *entry) bool {
+	const steps = 1 << 20
+	return e.rateLimit.Stated && !e.hasRecentFeedback(now) && float64(s.random(steps)) >= e.limitedShare()*steps
+}
+
 // isSlow reports whether the service time of the target is more than minSpeedup times that of another target of the
 // service in any zone.
 func (e *entry) isSlow(g *group) bool {
--- a/hemlockselection/target.go
+++ b/hemlockselection/target.go
@@ -83,6 +83,9 @@
 	inFlight int  // calls of this node that have not ended
 	leaving  bool // refused a call as leaving, or stated that it leaves; until Replace lists another process at its address
 
+	// rateLimit is what the target has stated, as far as this node knows.
+	rateLimit hemlockcall.RateLimit
+
 	feedback   hemlockcall.Feedback
 	feedbackAt time.Time // zero without feedback
 	// inFlightAtFeedback is inFlight when the feedback arrived. The feedback includes these calls.
@@ -114,13 +117,29 @@
 // this node alone.
 func (e *entry) load(now time.Time) float64 {
 	limit, inUse := e.target.Slots, e.inFlight
-	if e.feedback.Limit > 0 && now.Sub(e.feedbackAt) < maxFeedbackAge {
+	if e.hasRecentFeedback(now) {
 		limit = e.feedback.Limit
 		inUse = max(e.inFlight, e.feedback.InFlight+e.inFlight-e.inFlightAtFeedback)
 	}
 	return float64(inUse+1) / float64(max(1, limit))
 }
 
+func (e *entry) hasRecentFeedback(now time.Time) bool {
+	return e.feedback.Limit > 0 && now.Sub(e.feedbackAt) < maxFeedbackAge
+}
+
+// limitedShare is the fraction of the calls that the target could run which its rate limit leaves; 1 without a limit.
+func (e *entry) limitedShare() float64 {
+	if !e.rateLimit.Stated {
+		return 1
+	}
+	serviceTime := e.serviceTime
+	if serviceTime == 0 {
+		serviceTime = defaultServiceTime
+	}
+	return min(1, e.rateLimit.PerSecond*serviceTime.Seconds()/float64(max(1, e.target.Slots)))
+}
+
 // expectedTime estimates how long a call would take, to compare the targets of one service. It is in seconds, with a
 // penalty for failures.
 func (e *entry) expectedTime(now time.Time) float64 {
