Read from a peer while long bodies are being sent to it

Calls of a live peer ended with "the peer did not respond to a probe": idempotent ones lost running work, others waited for their deadline.

Cause: with manual flushing, drpc flushes before each receive, under the lock that a send holds while the socket is full. When both ends of a connection send long bodies, each receiver waits for its own sender and neither reads. The stacks of a failed run of TestRelayConcurrentCalls show it: both receivers in RawFlush, both senders in Write, both readers waiting for their receiver.

Change: streams that multiplex calls flush with each message that they send, which they did anyway, and no longer before a receive.

--- a/hemlockpeer/carry_stream.go
+++ b/hemlockpeer/carry_stream.go
@@ -18,6 +18,7 @@
 	if s.server.settings.relayer == nil {
 		return notServed("carry")
 	}
+	disableManualFlush(stream)
 	c := &carryStream{server: s.server, queue: newSendQueue(), cancels: map[uint64]context.CancelFunc{},
 		incomplete: map[uint64]*incompleteCall{}}
 	return c.serve(stream)
--- a/hemlockpeer/relay_client.go
+++ b/hemlockpeer/relay_client.go
@@ -7,7 +7,6 @@
 
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
-	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"hemlockhollow/hemlockcall"
@@ -134,7 +133,6 @@
 	}
 	connection := drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageSize},
-		Stream: drpcstream.Options{ManualFlush: true},
 	}})
 	ctx, cancel := context.WithCancel(context.Background())
 	stream, err := hemlockwire.NewDRPCNodeClient(connection).Carry(ctx)
--- a/hemlockpeer/relay_test.go
+++ b/hemlockpeer/relay_test.go
@@ -246,6 +246,37 @@
 	}
 }
 
+// Guards against two nodes that wait for each other because each sends long bodies and reads only after it has sent.
+func TestLongBodiesInBothDirections(t *testing.T) {
+	const rounds, calls, bodyBytes = 4, 24, 1 << 20
+	address := startRelayServer(t, func(_ context.Context, call *hemlockcall.RelayRequest) (*hemlockcall.RelayResponse, error) {
+		return &hemlockcall.RelayResponse{Status: 200, Body: call.Body}, nil
+	})
+	client := NewRelayClient(WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(16 << 10) // so that a sender soon waits for the other end
+			_ = tcp.SetWriteBuffer(16 << 10)
+		}
+		return connection, err
+	}))
+	defer client.Close()
+	for range rounds {
+		var group sync.WaitGroup
+		for range calls {
+			group.Go(func() {
+				call := newRelayRequest(make([]byte, bodyBytes))
+				call.Remaining = 20 * time.Second
+				response, err := client.Relay(t.Context(), address, call)
+				if err != nil || len(response.Body) != bodyBytes {
+					t.Errorf("error %v, want a response with the body of the request", err)
+				}
+			})
+		}
+		group.Wait()
+	}
+}
+
 // Guards against a live peer that counts as silent because probes wait until long bodies are sent, or because a message
 // or parcel is too long.
 func TestProbesOvertakeLongBodies(t *testing.T) {
--- a/hemlockpeer/send_queue.go
+++ b/hemlockpeer/send_queue.go
@@ -112,11 +112,7 @@
 			if len(batch) == 0 {
 				break
 			}
-			err := stream.Send(&hemlockwire.Batch{Parcels: batch})
-			if err == nil {
-				err = flush(stream)
-			}
-			if err != nil {
+			if err := stream.Send(&hemlockwire.Batch{Parcels: batch}); err != nil {
 				return hemlockerror.Wrap("send", KindConnection, err)
 			}
 		}
--- a/hemlockpeer/service.go
+++ b/hemlockpeer/service.go
@@ -221,6 +221,17 @@
 	}
 }
 
+// disableManualFlush makes a stream flush each message that it sends, and no longer before it receives. A stream with manual
+// flushing waits in Recv for a Send in progress. Two ends that both send long bodies would then wait for each other for ever.
+func disableManualFlush(stream drpc.Stream) {
+	if wrapped, ok := stream.(interface{ GetStream() drpc.Stream }); ok {
+		stream = wrapped.GetStream()
+	}
+	if flusher, ok := stream.(interface{ SetManualFlush(bool) }); ok {
+		flusher.SetManualFlush(false)
+	}
+}
+
 // flush sends the buffered data of a stream with manual flushing.
 func flush(stream drpc.Stream) error {
 	if wrapped, ok := stream.(interface{ GetStream() drpc.Stream }); ok {
