Read streamed responses while a long request is being sent

A call whose target responds while it still receives a long request ended at its deadline, with an unknown outcome.

Change: calls with a long body flush each message and no longer before a receive. Other calls still send head and body in one piece.

The sidecar does not use these streams.

--- a/hemlockpeer/call.go
+++ b/hemlockpeer/call.go
@@ -51,6 +51,7 @@
 		// A small request is sent in one piece, and reading its body does not block, so it needs no goroutine.
 		c.send(request, head)
 	} else {
+		disableManualFlush(stream)
 		go c.send(request, head)
 	}
 	response, err := c.receiveResponse()
--- a/hemlockpeer/call_test.go
+++ b/hemlockpeer/call_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"time"
 
 	"hemlockhollow/hemlockcall"
 )
@@ -115,3 +116,26 @@
 		})
 	}
 }
+
+// Guards against a call that waits for ever because both nodes send a long body and read only after they have sent.
+func TestLongStreamedBodiesInBothDirections(t *testing.T) {
+	_, address := startServer(t, invokerFunc(func(_ context.Context, r *hemlockcall.Request) (*hemlockcall.Response, error) {
+		response := newResponse(nil, r.Length)
+		response.Body = io.NopCloser(r.Body) // responds while the request is still being received
+		return response, nil
+	}))
+	client := startClient(t)
+	body := pattern(1, 16<<20)
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		response, err := client.InvokerFor(address).Invoke(ctx, newRequest(bytes.NewReader(body), int64(len(body))))
+		noError(t, err)
+		got, err := io.ReadAll(response.Body)
+		noError(t, err)
+		noError(t, response.Body.Close())
+		cancel()
+		if !bytes.Equal(got, body) {
+			t.Errorf("a body of %d bytes, want the one of the request", len(got))
+		}
+	}
+}
--- a/hemlockpeer/service.go
+++ b/hemlockpeer/service.go
@@ -132,6 +132,7 @@
 		}
 		request.Body = bytes.NewReader(c.body.part)
 	default:
+		disableManualFlush(c.stream)
 		go c.body.receive()
 		request.Body = c.body
 	}
@@ -223,6 +224,7 @@
 
 // disableManualFlush makes a stream flush each message that it sends, and no longer before it receives. A stream with manual
 // flushing waits in Recv for a Send in progress. Two ends that both send long bodies would then wait for each other for ever.
+// It must not be called while another goroutine uses the stream.
 func disableManualFlush(stream drpc.Stream) {
 	if wrapped, ok := stream.(interface{ GetStream() drpc.Stream }); ok {
 		stream = wrapped.GetStream()
