Flush responses of single calls only where the caller needs it

Tests: TestDefectiveRequests failed in 13 of its cases and passes; TestLongStreamedBodiesInBothDirections still passes, 5 runs of both.

--- a/hemlockpeer/service.go
+++ b/hemlockpeer/service.go
@@ -132,7 +132,6 @@
 		}
 		request.Body = bytes.NewReader(c.body.part)
 	default:
-		disableManualFlush(c.stream)
 		go c.body.receive()
 		request.Body = c.body
 	}
