--- a/spec/publish.pml
+++ b/spec/publish.pml
@@ -17,6 +17,9 @@
  * an unknown outcome.
  *
  * -DWITHOUT_CAS removes the condition of the write; the properties that monitor checks must then fail.
+ *
+ * check: ; -m200000
+ * fails: -DWITHOUT_CAS ; -m200000
  */
 
 #define PUBLISHERS 2
