--- a/hemlockbackpressure/fleet_test.go
+++ b/hemlockbackpressure/fleet_test.go
@@ -61,7 +61,7 @@
 	load := float64(f.running+len(f.waiting)) / deepestSlots
 	f.after(reportDelay, func() {
 		middle.RecordLoad(f.clock(), "deepest", load)
-		if f.loadReports && (t.callsLeft <= 1 || load > 1+deepestQueueSize/deepestSlots) {
+		if f.loadReports && t.callsLeft <= 1 {
 			entry.monitor.MergeLoads(f.clock(), middle.HighLoads(f.clock()))
 		}
 	})
