Believe reported rate limits until the target has stated one itself

A restarted node could send a limited target as many calls as it has slots although entries had reported its limit.

Cause: after any response of the target, the gate ignored what entries report, also after a response that says nothing about the limit: a refusal before execution without the header, or one with an invalid limit.

Change: only a response that states or revokes a limit makes reports outdated.

Test: TestGateLearnsStatementsFromEntries, case "a rate limit after a response that says nothing about it", failed before: no rate limit instead of 5 per second. Found by reading; no run has shown it.

--- a/hemlockrelay/statement.go
+++ b/hemlockrelay/statement.go
@@ -12,8 +12,9 @@
 type statements struct {
 	// report has the instance and the start time of the process.
 	report hemlockcall.TargetReport
-	// heard is set once the process has responded to this node. The reports of other nodes are then outdated.
-	heard bool
+	// limitHeard is set once a response of the process to this node has stated a rate limit or revoked it. What other nodes report
+	// of it is then outdated.
+	limitHeard bool
 }
 
 // GateOption configures a Gate.
@@ -45,16 +46,15 @@
 		g.mutex.Unlock()
 		return
 	}
-	g.statements.heard = true
 	if !statement.KeepsRateLimit {
-		report.RateLimit = statement.RateLimit
+		report.RateLimit, g.statements.limitHeard = statement.RateLimit, true
 	}
 	report.Leaving = report.Leaving || statement.Leaving
 	g.applyReport(now, report, SourceTarget)
 }
 
-// mergeReport applies what the entry of a call knows of the target's statements, unless the target has responded to this node
-// or the report is about another process. A process that leaves does not become ready again, so that statement always applies.
+// mergeReport applies what the entry of a call knows of the target's statements. A rate limit applies only until the target has
+// stated one or none to this node. A process that leaves does not become ready again, so that statement always applies.
 func (g *Gate) mergeReport(now time.Time, known hemlockcall.TargetReport) {
 	if !known.StatesAnything() {
 		return
@@ -65,7 +65,7 @@
 		g.mutex.Unlock()
 		return
 	}
-	if !g.statements.heard && known.RateLimit.Stated {
+	if !g.statements.limitHeard && known.RateLimit.Stated {
 		report.RateLimit = known.RateLimit
 	}
 	report.Leaving = report.Leaving || known.Leaving
--- a/hemlockrelay/statement_test.go
+++ b/hemlockrelay/statement_test.go
@@ -47,6 +47,9 @@
 		{"no rate limit after the target has revoked it", func(g *Gate) {
 			g.RecordStatement(time.Now(), "i", hemlockcall.TargetStatement{})
 		}, reportOf(limitedToFive, false), reportOf(hemlockcall.RateLimit{}, false)},
+		{"a rate limit after a response that says nothing about it", func(g *Gate) {
+			g.RecordStatement(time.Now(), "i", hemlockcall.TargetStatement{KeepsRateLimit: true})
+		}, reportOf(limitedToFive, false), reportOf(limitedToFive, false)},
 		{"nothing about another instance", func(*Gate) {},
 			hemlockcall.TargetReport{Instance: "previous", RateLimit: limitedToFive, Leaving: true},
 			reportOf(hemlockcall.RateLimit{}, false)},
