End the stand-in target with a message when its server fails

Cause: a target beside a node did not watch its HTTP server.

Change: the error of the server ends the process, with its text.

Conclusion: whether that was the cause of the failure that was seen is not shown.

--- a/standin/target/main.go
+++ b/standin/target/main.go
@@ -77,15 +77,20 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	fmt.Println("listening on", listener.Addr())
-	if f.node != "" {
-		a := &announcer{node: f.node, service: f.service, slots: f.slots, address: listener.Addr().String()}
-		a.run(ctx)
-	} else {
-		select {
-		case <-ctx.Done():
-		case err := <-served:
-			return err
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		if f.node != "" {
+			a := &announcer{node: f.node, service: f.service, slots: f.slots, address: listener.Addr().String()}
+			a.run(ctx)
+			return
 		}
+		<-ctx.Done()
+	}()
+	select {
+	case <-stopped:
+	case err := <-served:
+		return err
 	}
 	t.draining.Store(true)
 	drainContext, cancel := context.WithTimeout(context.Background(), drainTimeout)
