Close a connection whose peer was removed while it was being opened

Cause: CloseOthers removes a peer and retires its connection, but not one that is still being opened. Hosts that are replaced leave one behind now and then.

Change: a removed peer is marked. A connection that opens after that is retired, and the calls that wait for it are refused as not run, so that they go elsewhere.

--- a/hemlockpeer/relay_client.go
+++ b/hemlockpeer/relay_client.go
@@ -38,6 +38,8 @@
 	// dialError is the error of the last attempt to connect, or nil, and failedAt the time at which that attempt ended.
 	dialError error
 	failedAt  time.Time
+	// removed is set by CloseOthers and never reset; calls that still wait here are refused.
+	removed bool
 }
 
 // NewRelayClient returns a client without connections.
@@ -76,15 +78,22 @@
 		}
 		delete(c.peers, address)
 		p.mutex.Lock()
-		if p.current != nil {
-			p.current.mutex.Lock()
-			p.current.retire("the connection to the peer was closed")
-			p.current.mutex.Unlock()
-		}
+		p.removed = true
+		p.retireCurrent()
 		p.mutex.Unlock()
 	}
 }
 
+// retireCurrent retires the current connection, if there is one. It is called with the lock held.
+func (p *relayPeer) retireCurrent() {
+	if p.current == nil {
+		return
+	}
+	p.current.mutex.Lock()
+	defer p.current.mutex.Unlock()
+	p.current.retire("the connection to the peer was closed")
+}
+
 // get returns the current connection. If there is none, it waits for the running attempt to connect or starts one.
 func (p *relayPeer) get(ctx context.Context, client *RelayClient, address string) (*relayConnection, error) {
 	for {
@@ -94,6 +103,10 @@
 			p.mutex.Unlock()
 			return current, nil
 		}
+		if p.removed {
+			p.mutex.Unlock()
+			return nil, hemlockerror.New("connect", KindClosed, "the connection to the peer was closed")
+		}
 		if p.opening == nil {
 			if p.dialError != nil && time.Since(p.failedAt) < dialBackoff {
 				p.mutex.Unlock()
@@ -120,6 +133,9 @@
 	defer p.mutex.Unlock()
 	p.current, p.dialError, p.failedAt = connection, err, time.Now()
 	p.opening = nil
+	if p.removed {
+		p.retireCurrent()
+	}
 	close(opening)
 }
 
--- a/hemlockpeer/relay_test.go
+++ b/hemlockpeer/relay_test.go
@@ -302,3 +302,49 @@
 		}
 	}
 }
+
+// Guards against a connection that is never closed because its peer was removed while it was being opened.
+func TestPeerRemovedWhileConnecting(t *testing.T) {
+	address := startRelayServer(t, func(context.Context, *hemlockcall.RelayRequest) (*hemlockcall.RelayResponse, error) {
+		return &hemlockcall.RelayResponse{Status: 200}, nil
+	})
+	dialling, release := make(chan struct{}), make(chan struct{})
+	closed := make(chan struct{})
+	client := NewRelayClient(WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		close(dialling)
+		<-release
+		connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &closeRecorder{Conn: connection, closed: closed}, err
+	}))
+	defer client.Close()
+	result := make(chan error, 1)
+	go func() {
+		_, err := client.Relay(t.Context(), address, newRelayRequest(nil))
+		result <- err
+	}()
+	<-dialling
+	client.CloseOthers(nil)
+	close(release)
+	if err := <-result; err == nil {
+		t.Error("the call to the removed peer was relayed, want it refused")
+	} else if refusal := hemlockcall.AsRefusal(err); refusal.Verdict != hemlockcall.VerdictNotRun {
+		t.Errorf("refusal %+v, want one with the verdict not-run", refusal)
+	}
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection to the removed peer was not closed within 5 s")
+	}
+}
+
+// closeRecorder closes a channel when the connection is closed for the first time.
+type closeRecorder struct {
+	net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *closeRecorder) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
