Make the replay of limited targets free of data races

Cause: the entries of the replay shared one source of random numbers, and the arrivals at a target were guarded by the mutex of its current gate only.

Change: each entry has its own seeded source, each target its own mutex. Under the race detector the test failed before; the packages of the fix pass now.

--- a/hemlockrelay/statement_test.go
+++ b/hemlockrelay/statement_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -81,8 +83,10 @@
 
 // limitedTarget is a target behind a gate that can be replaced, as by a restart of its node. Its responses state a rate limit.
 type limitedTarget struct {
-	gate     atomic.Pointer[Gate]
-	limit    hemlockcall.RateLimit
+	gate  atomic.Pointer[Gate]
+	limit hemlockcall.RateLimit
+
+	mutex    sync.Mutex
 	arrivals []time.Time
 }
 
@@ -96,9 +100,9 @@
 	target := &fakeTarget{}
 	gate := NewGate(target, hemlocksuspect.New("self"), noopObserver{})
 	target.respond = func(context.Context, int, *hemlockcall.RelayRequest) (*hemlockcall.RelayResponse, error) {
-		target.mutex.Lock()
+		l.mutex.Lock()
 		l.arrivals = append(l.arrivals, time.Now())
-		target.mutex.Unlock()
+		l.mutex.Unlock()
 		time.Sleep(200 * time.Millisecond)
 		gate.RecordStatement(time.Now(), "i", hemlockcall.TargetStatement{RateLimit: l.limit})
 		return okResponse(), nil
@@ -135,13 +139,8 @@
 		f.targets[address] = newLimitedTarget(limit)
 		listed = append(listed, hemlockcall.Target{Address: address, Zone: "a", Service: "s", Slots: 24, Ready: true})
 	}
-	state := uint32(1)
-	random := func(n int) int { // reproducible
-		state = state*1664525 + 1013904223
-		return int(state>>8) % n
-	}
-	for range entries {
-		selector := hemlockselection.New("a", random)
+	for i := range entries {
+		selector := hemlockselection.New("a", rand.New(rand.NewPCG(1, uint64(i))).IntN)
 		selector.Replace(listed)
 		budget := hemlockretry.NewServiceRetryBudget(hemlockretry.ServiceRetryLimit{Ratio: 0.2, Slack: 100, Window: time.Second})
 		f.entries = append(f.entries, NewEntry("self", newTestGate(&fakeTarget{}, 1), f, selector, budget, noopObserver{}))
