Take a configuration that has the version of one that the store has lost

What callers saw: a change that the operator had published, and the store had acknowledged, was ignored by every node that had an earlier configuration of the same number, until the number was passed.

Cause: nodes and their polls of each other compare configurations by version alone. After a return of the store from an older copy, one number stands for two configurations.

Evidence: TestConfigurationWithTheNumberOfALostOneReplacesIt failed ("did not happen within 10 s: the route leads to service one"); without this change TestNodesGetAReplacedConfigurationFromTheirLeaders fails with "node 0 has the replaced configuration".

Change: of two configurations with the same version, the one that was read in the later era is newer. Queries and responses between nodes carry the era, so that nodes that do not poll the store get it too. A lower version is still the copy's and is ignored: the operator writes again what it had written.

--- a/hemlockpeer/message.go
+++ b/hemlockpeer/message.go
@@ -59,13 +59,20 @@
 	NewerThan uint64
 	// Wait is how long the queried node may wait for a newer version before it responds; in milliseconds on the wire.
 	Wait time.Duration
+	// Era is the era of the store in which the configuration of the querying node was read; empty if unknown. Of two
+	// configurations with the same version, the one of the later era is newer.
+	Era string
 }
 
 // ConfigurationResponse is the response to a ConfigurationQuery: the active configuration of a node.
 type ConfigurationResponse struct {
 	Version uint64
-	// Body is empty when Version is not newer than the version in the query.
+	// Body is empty when the configuration is not newer than the one in the query.
 	Body []byte
+	// Era is the era of the store in which the configuration was read; empty if unknown.
+	Era string
+	// StoreEra is the era that the store last stated to the responding node; empty if unknown.
+	StoreEra string
 	// Confirmed is set when the store has reported that no newer configuration exists; Age is the time since that report,
 	// in milliseconds on the wire.
 	Confirmed bool
@@ -77,24 +84,25 @@
 
 func encodeConfigurationQuery(query ConfigurationQuery) *hemlockwire.ConfigurationQuery {
 	return &hemlockwire.ConfigurationQuery{NewerThan: query.NewerThan,
-		WaitMilliseconds: uint32(min(max(query.Wait, 0), maxConfigurationWait) / time.Millisecond)}
+		WaitMilliseconds: uint32(min(max(query.Wait, 0), maxConfigurationWait) / time.Millisecond), Era: query.Era}
 }
 
 func decodeConfigurationQuery(wire *hemlockwire.ConfigurationQuery) ConfigurationQuery {
 	wait := time.Duration(wire.GetWaitMilliseconds()) * time.Millisecond
-	return ConfigurationQuery{NewerThan: wire.GetNewerThan(), Wait: min(wait, maxConfigurationWait)}
+	return ConfigurationQuery{NewerThan: wire.GetNewerThan(), Wait: min(wait, maxConfigurationWait), Era: wire.GetEra()}
 }
 
 func encodeConfigurationResponse(response ConfigurationResponse) *hemlockwire.ConfigurationAnswer {
 	return &hemlockwire.ConfigurationAnswer{Version: response.Version, Body: response.Body, Confirmed: response.Confirmed,
-		AgeMilliseconds: uint64(max(response.Age, 0) / time.Millisecond)}
+		AgeMilliseconds: uint64(max(response.Age, 0) / time.Millisecond), Era: response.Era, StoreEra: response.StoreEra}
 }
 
 func decodeConfigurationResponse(wire *hemlockwire.ConfigurationAnswer) ConfigurationResponse {
 	// A report whose age exceeds the range of a duration is treated as missing.
 	age := wire.GetAgeMilliseconds()
 	confirmed := wire.GetConfirmed() && age < uint64(math.MaxInt64/time.Millisecond)
-	response := ConfigurationResponse{Version: wire.GetVersion(), Body: wire.GetBody(), Confirmed: confirmed}
+	response := ConfigurationResponse{Version: wire.GetVersion(), Body: wire.GetBody(), Confirmed: confirmed,
+		Era: wire.GetEra(), StoreEra: wire.GetStoreEra()}
 	if confirmed {
 		response.Age = time.Duration(age) * time.Millisecond
 	}
--- a/hemlockroute/table.go
+++ b/hemlockroute/table.go
@@ -96,3 +96,10 @@
 		}
 	}
 }
+
+// Replace makes a table the active one if it has the active version, and reports whether it did. It is for a version that has been
+// assigned again.
+func (h *Holder) Replace(t *Table) bool {
+	current := h.current.Load()
+	return current != nil && current.version == t.version && h.current.CompareAndSwap(current, t)
+}
