--- a/hemlockroute/route_test.go
+++ b/hemlockroute/route_test.go
@@ -46,21 +46,21 @@
 	})
 }
 
-// Guards against services of a route that get a fraction of the requests that does not match their weights.
 // Guards against a replacement of the active configuration by one of another version, which only Update may make active.
 func TestHolderReplacesOnlyTheActiveVersion(t *testing.T) {
 	var holder Holder
-	if holder.Replace(NewTable(1, nil, nil, ClientLimits{})) {
+	if holder.Replace(table(1)) {
 		t.Error("a table was replaced before there was one")
 	}
-	holder.Update(NewTable(2, nil, nil, ClientLimits{}))
+	holder.Update(table(2))
 	for version, want := range map[uint64]bool{1: false, 2: true, 3: false} {
-		if got := holder.Replace(NewTable(version, nil, nil, ClientLimits{})); got != want || holder.Version() != 2 {
+		if got := holder.Replace(table(version)); got != want || holder.Version() != 2 {
 			t.Errorf("version %d replaced the active version 2: %t, want %t; now active: %d", version, got, want, holder.Version())
 		}
 	}
 }
 
+// Guards against services of a route that get a fraction of the requests that does not match their weights.
 func TestSplitterFollowsTheWeights(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		weights := rapid.SliceOfN(rapid.IntRange(1, 100), 1, 4).Draw(t, "weights")
