Write a published configuration again after the platform has lost it

What operators saw: a publish that was accepted, with the number of a version that the platform had lost, was ignored by every node that had the lost one, until enough further publishes had followed. The lost publish itself was gone as soon as the nodes that had it were replaced.

Cause: versions were taken for the identity of configurations. After the platform has returned from an older copy, one version stands for two of them, and nothing wrote a lost one again.

Change: a configuration includes another one by the nonces of its history. A node takes over only what includes its active one. The nodes that poll the head row, and a node that gets a configuration which does not include its own, call Publisher.Restore: it writes the lost version again, a missing object too, or a new version that merges both. Of two changes of one service the later publish stays, and both count as changes of the merged version, so that a publish with a lost base version conflicts instead of reverting one.

The stand-in platform keeps copies, returns from them and states its era, also through its interface for faults.

What remains: a version that no node had taken over is lost.

--- a/hemlockconfiguration/configuration.go
+++ b/hemlockconfiguration/configuration.go
@@ -26,7 +26,8 @@
 	// lastChanged is the version at which each service was last published or removed. It keeps removed services, so
 	// that a publish with an older base version conflicts instead of silently adding them again.
 	lastChanged map[string]uint64
-	// nonces are those of the latest versions, at most maxNonces, oldest first; the last one belongs to Version.
+	// nonces are those of the latest maxNonces versions, oldest first; the last one belongs to Version. A version has several if the
+	// store lost the first publish that wrote it, and both were merged later.
 	nonces []versionNonce
 }
 
@@ -67,9 +68,7 @@
 	if n.lastChanged == nil {
 		n.lastChanged = map[string]uint64{}
 	}
-	if len(n.nonces) > maxNonces {
-		n.nonces = n.nonces[len(n.nonces)-maxNonces:]
-	}
+	n.nonces = slices.DeleteFunc(n.nonces, func(v versionNonce) bool { return v.Version+maxNonces <= n.Version })
 	for name, s := range changes {
 		n.lastChanged[name] = n.Version
 		if s == nil {
--- a/hemlockconfiguration/encoding.go
+++ b/hemlockconfiguration/encoding.go
@@ -25,6 +25,8 @@
 	maxDecodedBytes = 8 << 20
 	// maxEnvelopeBytes is more than the envelope adds to the size of its content.
 	maxEnvelopeBytes = 1 << 10
+	// maxMergedNonces limits the nonces of a configuration in which lost versions were merged several times.
+	maxMergedNonces = 8 * maxNonces
 	// maxServices limits the services of a configuration, far above the intended 52.
 	maxServices = 1024
 )
@@ -175,14 +177,27 @@
 			return errors.Errorf("service %q was last changed in version %d, but the configuration has version %d", name, v, c.Version)
 		}
 	}
-	wantNonces := min(c.Version, maxNonces)
-	if uint64(len(c.nonces)) != wantNonces {
-		return errors.Errorf("the configuration has %d nonces at version %d; expected %d", len(c.nonces), c.Version, wantNonces)
+	return c.validateNonces()
+}
+
+// validateNonces checks that there are nonces of each of the latest versions, in order, and of no other. The version itself has one.
+func (c Configuration) validateNonces() error {
+	if c.Version == 0 && len(c.nonces) == 0 {
+		return nil
 	}
+	if len(c.nonces) > maxMergedNonces {
+		return errors.Errorf("the configuration has %d nonces; at most %d are allowed", len(c.nonces), maxMergedNonces)
+	}
+	last := c.Version - min(c.Version, maxNonces)
 	for i, n := range c.nonces {
-		if wantVersion := c.Version - wantNonces + uint64(i) + 1; n.Version != wantVersion || n.Nonce == "" {
-			return errors.Errorf("nonce %d is empty or belongs to version %d; expected version %d", i, n.Version, wantVersion)
+		repeated := i > 0 && n.Version == last && n.Version < c.Version
+		if n.Nonce == "" || n.Version != last+1 && !repeated {
+			return errors.Errorf("nonce %d is empty or belongs to version %d after version %d", i, n.Version, last)
 		}
+		last = n.Version
+	}
+	if last != c.Version {
+		return errors.Errorf("the last nonce belongs to version %d; expected version %d", last, c.Version)
 	}
 	return nil
 }
--- a/hemlockconfiguration/holder.go
+++ b/hemlockconfiguration/holder.go
@@ -36,12 +36,12 @@
 	return *h.current.Load()
 }
 
-// Update makes the configuration the active one and returns true if its version is higher than the active version.
-// Otherwise it changes nothing and returns false.
+// Update makes the configuration the active one and returns true if its version is higher than the active version and it includes
+// the active configuration. Otherwise it changes nothing and returns false.
 func (h *Holder) Update(c Configuration) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if c.Version <= h.current.Load().Version {
+	if current := h.current.Load(); c.Version <= current.Version || !c.Includes(*current) {
 		return false
 	}
 	h.current.Store(&c)
--- a/hemlocknode/configuration.go
+++ b/hemlocknode/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -11,6 +12,7 @@
 	"hemlockhollow/hemlockgossip"
 	"hemlockhollow/hemlockmember"
 	"hemlockhollow/hemlockpeer"
+	"hemlockhollow/platform/hemlockplatform"
 )
 
 const (
@@ -24,6 +26,12 @@
 	fetchTimeout    = 2 * time.Second
 	headTimeout     = time.Second
 	reportQueueSize = 16
+	// maxRestoreDelay limits the random delay before a node that learned of a lost configuration from a peer writes it to the store;
+	// the nodes that poll the store do so earlier.
+	maxRestoreDelay = 3 * time.Second
+	// restoreTimeout limits the calls to the store with which a lost configuration is written again.
+	restoreTimeout  = 5 * time.Second
+	restoreAttempts = 3
 )
 
 // versionReport is a configuration version that a peer has reported.
@@ -44,6 +52,14 @@
 	random       func(n int) int
 	reports      chan versionReport
 	log          logr.Logger
+	// publisher writes the active configuration to the store again after the store has lost it; nil without a store.
+	publisher *hemlockconfiguration.Publisher
+	// storeEra returns the era that the store stated last, and checkedEra is the one in which this node last checked that the store has
+	// the object of the active configuration; only readHead uses it.
+	storeEra   func() hemlockplatform.Era
+	checkedEra hemlockplatform.Era
+	// restoring is set while the active configuration is being restored in the store.
+	restoring atomic.Bool
 }
 
 // receiveReport queues the version that a peer has reported. It does not block: it drops the report when the queue is full,
@@ -86,19 +102,28 @@
 }
 
 func (w *ConfigurationWatcher) readHead(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, headTimeout)
+	headCtx, cancel := context.WithTimeout(ctx, headTimeout)
 	defer cancel()
-	head, _, err := w.store.ReadHead(ctx)
-	if err != nil || head.Version <= w.holder.Current().Version {
+	// The active configuration is read first: one that becomes active later may be newer than the head row without being lost.
+	own := w.holder.Current()
+	head, _, err := w.store.ReadHead(headCtx)
+	if err != nil {
+		return
+	}
+	if head.Version <= own.Version {
+		if era := w.storeEra(); head.Digest != own.Digest || era != w.checkedEra {
+			w.checkedEra = era
+			w.restore(ctx, own, 0)
+		}
 		return
 	}
-	loaded, err := hemlockconfiguration.Load(ctx, w.store, head)
+	loaded, err := hemlockconfiguration.Load(headCtx, w.store, head)
 	if err != nil {
 		// Logged at debug level only: a lasting failure recurs every second, and the gauge configuration_version shows it.
 		w.log.V(1).Info("configuration not loaded", "version", head.Version, "error", err.Error())
 		return
 	}
-	w.activate(loaded, "platform")
+	w.activate(ctx, loaded, "platform")
 }
 
 func (w *ConfigurationWatcher) fetch(ctx context.Context, report versionReport) {
@@ -114,11 +139,18 @@
 		w.log.Error(err, "configuration of a peer refused", "peer", report.address)
 		return
 	}
-	w.activate(fetched, report.address)
+	w.activate(ctx, fetched, report.address)
 }
 
-func (w *ConfigurationWatcher) activate(c hemlockconfiguration.Configuration, source string) {
+// activate makes the configuration the active one if it is newer. If it does not include the active one, the store has lost that and
+// others have published since; both are then merged in the store.
+func (w *ConfigurationWatcher) activate(ctx context.Context, c hemlockconfiguration.Configuration, source string) {
+	own := w.holder.Current()
 	if !w.holder.Update(c) {
+		if c.Version > own.Version && !c.Includes(own) {
+			w.log.Info("configuration does not include the one in force", "version", c.Version, "in-force", own.Version, "source", source)
+			w.restore(ctx, own, maxRestoreDelay)
+		}
 		return
 	}
 	w.log.Info("configuration in force", "version", c.Version, "digest", c.Digest, "source", source)
@@ -126,6 +158,30 @@
 	w.notify(c.Version)
 }
 
+// restore makes sure in the background that the store has a configuration which includes the given one, and activates it. It does
+// nothing while an earlier call is still running. It starts after a random delay, so that many nodes do not write at the same time.
+func (w *ConfigurationWatcher) restore(ctx context.Context, own hemlockconfiguration.Configuration, maxDelay time.Duration) {
+	if w.publisher == nil || own.Version == 0 || !w.restoring.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer w.restoring.Store(false)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxDelay+restoreTimeout)
+		defer cancel()
+		if maxDelay > 0 {
+			hemlockcall.Sleep(ctx, time.Duration(w.random(int(maxDelay))))
+		}
+		restored, err := w.publisher.Restore(ctx, own)
+		if err != nil {
+			// Logged at debug level only: it is tried again each second.
+			w.log.V(1).Info("configuration not restored in the platform", "version", own.Version, "error", err.Error())
+			return
+		}
+		w.log.Info("configuration restored in the platform", "lost", own.Version, "version", restored.Version)
+		w.activate(ctx, restored, "platform")
+	}()
+}
+
 // notify reports a version to at most notifyFanOut random members of the zone and to one random member of another zone. The
 // version thus reaches all nodes faster than through the probes of the gossip alone.
 func (w *ConfigurationWatcher) notify(version uint64) {
--- a/hemlocknode/fixture_test.go
+++ b/hemlocknode/fixture_test.go
@@ -41,15 +41,17 @@
 	*testing.T
 	network      *network
 	platform     string
+	store        *store.Store
 	seeds        []string
 	startedNodes int
 }
 
 func newCluster(t *testing.T) *cluster {
-	server := httptest.NewServer(store.NewHandler(store.New(), 0))
+	content := store.New()
+	server := httptest.NewServer(store.NewHandler(content, 0))
 	t.Cleanup(server.Close)
 	address := server.Listener.Addr().String()
-	return &cluster{T: t, platform: address, network: &network{
+	return &cluster{T: t, platform: address, store: content, network: &network{
 		zones: map[string]string{address: "platform"}, blockedLinks: map[[2]string]bool{}, openConnections: map[[2]string][]net.Conn{},
 	}}
 }
--- a/hemlocknode/providers.go
+++ b/hemlocknode/providers.go
@@ -172,7 +172,7 @@
 
 func provideConfigurationWatcher(
 	holder *hemlockconfiguration.Holder, store hemlockconfiguration.Store, peers *hemlockpeer.Client,
-	gossip *hemlockmember.Gossip, gossipDriver *hemlockgossip.Driver, duties *Duties, log logr.Logger,
+	gossip *hemlockmember.Gossip, gossipDriver *hemlockgossip.Driver, duties *Duties, platform *hemlockplatform.Client, log logr.Logger,
 ) *ConfigurationWatcher {
 	w := &ConfigurationWatcher{
 		holder:       holder,
@@ -185,6 +185,10 @@
 		reports:      make(chan versionReport, reportQueueSize),
 		log:          log.WithName("configuration"),
 	}
+	if store != nil {
+		w.publisher = hemlockconfiguration.NewPublisher(store, hemlockconfiguration.WithAttempts(restoreAttempts))
+		w.storeEra = platform.Era
+	}
 	gossipDriver.OnConfigurationVersion(w.receiveReport)
 	return w
 }
--- a/standin/platform/store/handler.go
+++ b/standin/platform/store/handler.go
@@ -5,7 +5,10 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
+
+	"hemlockhollow/platform/hemlockplatform"
 )
 
 // maxBody limits the body of a request, in bytes.
@@ -17,6 +20,8 @@
 	injector *injector
 	latency  time.Duration
 	mux      *http.ServeMux
+	// copied is the last copy that was taken through the interface.
+	copied atomic.Pointer[Copy]
 }
 
 // NewHandler returns a handler; latency is added to every call.
@@ -29,6 +34,12 @@
 	h.mux.HandleFunc("GET /objects/{name}", h.withFaults(false, h.get))
 	h.mux.HandleFunc("PUT /admin/faults", h.setFaults)
 	h.mux.HandleFunc("POST /admin/faults", h.setFaults)
+	h.mux.HandleFunc("POST /admin/copy", func(w http.ResponseWriter, _ *http.Request) {
+		c := h.store.Copy()
+		h.copied.Store(&c)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	h.mux.HandleFunc("POST /admin/restore", h.restore)
 	h.mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, h.store.Counts())
 	})
@@ -63,6 +74,17 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// restore makes the store return from the last copy.
+func (h *Handler) restore(w http.ResponseWriter, _ *http.Request) {
+	c := h.copied.Load()
+	if c == nil {
+		http.Error(w, "no copy was taken", http.StatusConflict)
+		return
+	}
+	h.store.Restore(*c)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // operation checks a request. It returns a function that applies it and returns the response, or else an error status.
 type operation func(r *http.Request, body []byte) (apply func() response, status int)
 
@@ -103,10 +125,12 @@
 			time.AfterFunc(drawn.lateWriteDelay, func() { apply() })
 			panic(http.ErrAbortHandler)
 		}
-		result := apply()
+		var result response
+		era := h.store.InEra(func() { result = apply() })
 		if drawn.losesReply {
 			panic(http.ErrAbortHandler)
 		}
+		w.Header().Set(hemlockplatform.EraHeader, strconv.FormatUint(era, 10))
 		if result.raw != nil {
 			w.WriteHeader(result.status)
 			_, _ = w.Write(result.raw)
--- a/standin/platform/store/store.go
+++ b/standin/platform/store/store.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -47,15 +48,62 @@
 	mutex   sync.Mutex
 	rows    map[string]Row
 	objects map[string][]byte
-	// version is incremented by each write of a row, including deletions. It never decreases, so that no version is used
-	// twice, not even when a deleted row is written again.
+	// version is incremented by each write of a row, including deletions. Within an era it never decreases, so that no version is
+	// used twice, not even when a deleted row is written again.
 	version uint64
-	counts  Counts
+	// era is incremented by each Restore.
+	era    uint64
+	counts Counts
+	// eraMutex is locked for reading during each call, so that the era that a response states is the one of the call. It is locked
+	// before mutex.
+	eraMutex sync.RWMutex
 }
 
-// New returns an empty store.
+// New returns an empty store in era 1.
 func New() *Store {
-	return &Store{rows: map[string]Row{}, objects: map[string][]byte{}}
+	return &Store{rows: map[string]Row{}, objects: map[string][]byte{}, era: 1}
+}
+
+// Copy is a copy of the content of a store.
+type Copy struct {
+	rows    map[string]Row
+	objects map[string][]byte
+	version uint64
+}
+
+// WithoutObjects returns the copy without its objects.
+func (c Copy) WithoutObjects() Copy {
+	c.objects = nil
+	return c
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Copy{rows: maps.Clone(s.rows), objects: maps.Clone(s.objects), version: s.version}
+}
+
+// Restore makes the store return from the copy, in a new era: what was written since the copy is lost, and its versions are assigned
+// again.
+func (s *Store) Restore(c Copy) {
+	s.eraMutex.Lock()
+	defer s.eraMutex.Unlock()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.rows, s.objects, s.version = maps.Clone(c.rows), maps.Clone(c.objects), c.version
+	if s.objects == nil {
+		s.objects = map[string][]byte{}
+	}
+	s.era++
+}
+
+// InEra runs calls of the store within one era, and returns its number, which rises with each Restore.
+func (s *Store) InEra(run func()) uint64 {
+	s.eraMutex.RLock()
+	defer s.eraMutex.RUnlock()
+	run()
+	return s.era
 }
 
 // Transact applies all writes and returns nil, or applies none and returns the keys whose conditions failed.
