Refuse orders whose claim the platform may have lost

What callers saw: an order that had run was run again when it was sent again with the same key, after the platform had returned from an older copy without its claim.

Cause: a missing row was taken as proof that a request has not run, and so was a released row, however old. A write counted whatever had happened to the table between the read of its condition and the write.

The property test TestAtMostOnceUnderFaults now draws copies, returns and restarts of nodes; it found that a process without memory took a table that had lost its record for a new one.

Change: a record in the table names the era and the latest key whose claim may be lost; the first node that notices a return writes it. Until then keys without a row of the current era are refused with an unknown outcome. Rows name their era, and a write that another era, or none, confirms has an unknown outcome. A process that ran an order stores its response anew after the claim was lost. publish writes the first record; to a node a missing one is a lost one.

Cost: for 5.5 min after a return most orders are refused, because keys may be up to 5 min ahead of the nodes' clocks and what was lost can't be known. A read for each process start and each return.

The fixtures of the claims' tests use a tracker of eras, as nodes do: without one, a claim on a platform that states eras is never confirmed.

--- a/hemlockclaim/claimer.go
+++ b/hemlockclaim/claimer.go
@@ -18,6 +18,7 @@
 }
 
 type settings struct {
+	eras              *EraTracker
 	objects           ObjectStore
 	clock             func() time.Time
 	nonce             func() string
@@ -34,6 +35,11 @@
 	return func(s *settings) { s.objects = objects }
 }
 
+// WithEras sets the tracker of the table's eras; without it, the table is taken to never lose a row.
+func WithEras(eras *EraTracker) Option {
+	return func(s *settings) { s.eras = eras }
+}
+
 // WithClock sets the clock that determines the age of keys.
 func WithClock(clock func() time.Time) Option {
 	return func(s *settings) { s.clock = clock }
@@ -82,10 +88,12 @@
 	key    string
 	digest string
 	nonce  string
+	// era is the era of the table in which the claim was made.
+	era string
 }
 
 func (c Claim) row(state State) Row {
-	return Row{State: state, Digest: c.digest, Nonce: c.nonce}
+	return Row{State: state, Digest: c.digest, Nonce: c.nonce, Era: c.era}
 }
 
 // maxClaimAttempts limits how often Claim writes, as other attempts may change the row between its read and its write.
@@ -103,8 +111,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.settings.claimTimeout)
 	defer cancel()
-	claim := Claim{key: rowKey, digest: digest, nonce: c.settings.nonce()}
-	var version uint64
+	era, err := c.currentEra(ctx)
+	if err != nil {
+		return Claim{}, nil, wrapError("claim", KindUnavailable, err)
+	}
+	claim := Claim{key: rowKey, digest: digest, nonce: c.settings.nonce(), era: era.Era}
+	if mayBeLost(key, era) {
+		return c.claimAfterLoss(ctx, claim, key)
+	}
+	return c.claim(ctx, claim, key, 0)
+}
+
+// claim writes the row of a claim if the row has the version, or if it is absent or released.
+func (c *Claimer) claim(ctx context.Context, claim Claim, key string, version uint64) (Claim, *StoredResponse, error) {
 	for range maxClaimAttempts {
 		applied, err := c.write(ctx, claim, version, StateRunning)
 		switch {
@@ -115,7 +134,7 @@
 		case err != nil:
 			return c.readBack(ctx, claim, key, version, err)
 		}
-		row, found, err := c.store.Read(ctx, rowKey)
+		row, found, err := c.store.Read(ctx, claim.key)
 		if err != nil {
 			// The condition failed because of another attempt, which may have run.
 			return Claim{}, nil, wrapError("claim", KindInProgress, err)
@@ -124,8 +143,8 @@
 			version = 0
 			continue
 		}
-		if row.State != StateReleased || row.Digest != digest {
-			response, err := c.responseOfOther(ctx, row, digest)
+		if row.State != StateReleased || row.Digest != claim.digest {
+			response, err := c.responseOfOther(ctx, row, claim.digest)
 			return Claim{}, response, err
 		}
 		version = row.Version
@@ -133,6 +152,28 @@
 	return Claim{}, nil, newError("claim", KindInProgress, "other attempts with this key are in progress")
 }
 
+func (c *Claimer) currentEra(ctx context.Context) (EraRecord, error) {
+	if c.settings.eras == nil {
+		return EraRecord{}, nil
+	}
+	return c.settings.eras.Current(ctx, c.settings.clock())
+}
+
+// claimAfterLoss claims a key of which the table may have lost a row. Only a row of the current era proves that the key may be claimed.
+func (c *Claimer) claimAfterLoss(ctx context.Context, claim Claim, key string) (Claim, *StoredResponse, error) {
+	row, found, err := c.store.Read(ctx, claim.key)
+	switch {
+	case err != nil:
+		return Claim{}, nil, wrapError("claim", KindUncertain, err)
+	case !found || row.State == StateReleased && row.Era != claim.era:
+		return Claim{}, nil, newError("claim", KindUncertain, "the table returned from an older copy since the key was issued")
+	case row.State == StateReleased && row.Digest == claim.digest:
+		return c.claim(ctx, claim, key, row.Version)
+	}
+	response, err := c.responseOfOther(ctx, row, claim.digest)
+	return Claim{}, response, err
+}
+
 // confirm checks the age of the key again after the row was written. Without it, an attempt that is paused after the
 // first check until Sweep has deleted the row of an earlier attempt could insert the row again and run a second time.
 func (c *Claimer) confirm(claim Claim, key string) (Claim, *StoredResponse, error) {
@@ -152,6 +193,9 @@
 		return Claim{}, nil, unavailable
 	}
 	if found && row.Nonce == claim.nonce && row.State == StateRunning {
+		if row.ReadEra != claim.era {
+			return Claim{}, nil, newError("claim", KindUncertain, "the table may have returned from an older copy during the claim")
+		}
 		return c.confirm(claim, key)
 	}
 	if row.Version == version {
--- /dev/null
+++ b/hemlockclaim/era.go
@@ -0,0 +1,126 @@
+package hemlockclaim
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+)
+
+// EraRecord is the row of the table from which all nodes know which claims the table may have lost.
+type EraRecord struct {
+	// Era is the era of the table in which the record was written.
+	Era string `json:"era"`
+	// LostUntil is the latest time in the idempotency key of a claim that the table may have lost when it returned from an older
+	// copy; zero if it has never returned.
+	LostUntil time.Time `json:"lost-until,omitzero"`
+}
+
+// EraStore stores the EraRecord.
+type EraStore interface {
+	// StatedEra returns the era that the table stated last, without a call to it; empty if it has not stated one.
+	StatedEra() string
+	// ReadEra returns the record, the version of its row, and the era that the response states; the version is 0 if there is no
+	// record.
+	ReadEra(ctx context.Context) (record EraRecord, version uint64, stated string, err error)
+	// WriteEra writes the record if its row has the version, and reports whether it did.
+	WriteEra(ctx context.Context, version uint64, record EraRecord) (bool, error)
+}
+
+// EraTracker knows which claims the table may have lost: each time the table returns from an older copy, the first node that notices
+// it records the time, and all nodes refuse to claim keys which an earlier attempt may have claimed before. It is safe for concurrent
+// use.
+type EraTracker struct {
+	store EraStore
+	// current is nil until the first record was read or written.
+	current atomic.Pointer[EraRecord]
+	// refreshing is held by the caller of Current that calls the table.
+	refreshing *semaphore.Weighted
+}
+
+// NewEraTracker returns an EraTracker that uses the store.
+func NewEraTracker(store EraStore) *EraTracker {
+	return &EraTracker{store: store, refreshing: semaphore.NewWeighted(1)}
+}
+
+// InitialiseEra writes the record of a table that has never lost a claim, unless there is a record. Who publishes a configuration calls
+// it, since there are no claims before the first one. A node never does: to it, a missing record is a lost one.
+func InitialiseEra(ctx context.Context, store EraStore) error {
+	_, version, stated, err := store.ReadEra(ctx)
+	if err != nil || version > 0 || stated == "" {
+		return err
+	}
+	// If others write it first, the condition fails, which is as good.
+	_, err = store.WriteEra(ctx, 0, EraRecord{Era: stated})
+	return err
+}
+
+// maxNodeClockError is how far the clock of a node may be from that of another one.
+const maxNodeClockError = 30 * time.Second
+
+// maxEraAttempts limits the attempts to write the record, as other nodes write it at the same time.
+const maxEraAttempts = 3
+
+// Current returns the record of the era that the table stated last. It calls the table only if that era is not known yet. The time now
+// is by the clock that determines the age of keys.
+func (e *EraTracker) Current(ctx context.Context, now time.Time) (EraRecord, error) {
+	if record, ok := e.known(); ok {
+		return record, nil
+	}
+	if err := e.refreshing.Acquire(ctx, 1); err != nil {
+		return EraRecord{}, err
+	}
+	defer e.refreshing.Release(1)
+	if record, ok := e.known(); ok {
+		return record, nil
+	}
+	lastErr := error(newError("read era", KindUnavailable, "other nodes write the record of the table's era"))
+	for range maxEraAttempts {
+		record, version, stated, err := e.store.ReadEra(ctx)
+		if err != nil {
+			return EraRecord{}, err
+		}
+		next, write := e.next(now, record, version > 0, stated)
+		if write {
+			// After a lost response or a conflict, the record is read again.
+			if written, err := e.store.WriteEra(ctx, version, next); err != nil || !written {
+				if err != nil {
+					lastErr = err
+				}
+				continue
+			}
+		}
+		e.current.Store(&next)
+		return next, nil
+	}
+	return EraRecord{}, lastErr
+}
+
+// known returns the record of the era that the table stated last, and false if it is not known.
+func (e *EraTracker) known() (EraRecord, bool) {
+	record := e.current.Load()
+	if record == nil || record.Era != e.store.StatedEra() {
+		return EraRecord{}, false
+	}
+	return *record, true
+}
+
+// next returns the record for the stated era, and whether it must be written.
+func (e *EraTracker) next(now time.Time, record EraRecord, found bool, stated string) (EraRecord, bool) {
+	known := e.current.Load()
+	switch {
+	case found && record.Era == stated:
+		return record, false
+	case !found && known == nil && stated == "":
+		return EraRecord{}, false
+	}
+	lostUntil := now.Add(maxClockSkew + maxNodeClockError)
+	if record.LostUntil.After(lostUntil) {
+		lostUntil = record.LostUntil
+	}
+	if known != nil && known.LostUntil.After(lostUntil) {
+		lostUntil = known.LostUntil
+	}
+	return EraRecord{Era: stated, LostUntil: lostUntil}, true
+}
--- a/hemlockclaim/error.go
+++ b/hemlockclaim/error.go
@@ -3,6 +3,9 @@
 // succeeded. As long as the row exists, safety depends only on the conditions of the writes, not on clocks or on agreement
 // between nodes. Sweep deletes old rows; for these, safety depends on clocks that differ by less than the retention, as
 // Claim refuses keys older than the retention and Sweep deletes only rows of keys older than twice the retention.
+//
+// A table that returns from an older copy loses rows. It then states another era, and Claim refuses all keys without a row that may have
+// been claimed before; see EraTracker.
 package hemlockclaim
 
 import (
@@ -35,6 +38,9 @@
 	KindLost Kind = "claim-lost"
 )
 
+// KindUncertain means that the table returned from an older copy and may have lost a claim of the key: the request may have run.
+const KindUncertain Kind = "claim-uncertain"
+
 // Error is the error type of this package.
 type Error = hemlockerror.Error[Kind]
 
--- a/hemlockclaim/fake_table_test.go
+++ b/hemlockclaim/fake_table_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,7 +26,7 @@
 	late                // takes effect when applyLate is called, but the reply is lost
 )
 
-// fakeTable is a table that never reuses a row version. The faults of injectFaults apply to its next transactions, one
+// fakeTable is a table that reuses a row version only after it has returned from a copy. The faults of injectFaults apply to its next transactions, one
 // each; the conditions of the changes decide about further transactions.
 type fakeTable struct {
 	mutex        sync.Mutex
@@ -35,10 +38,86 @@
 	latency      time.Duration
 	transactions int
 	batchSizes   []int
+	// era rises with each return from a copy; eraRecord is valid if eraVersion is above 0.
+	era        int
+	eraRecord  hemlockclaim.EraRecord
+	eraVersion uint64
+}
+
+// copy returns a function that makes the table return from a copy of its present content.
+func (f *fakeTable) copy() (restore func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	rows, version, record, eraVersion := maps.Clone(f.rows), f.version, f.eraRecord, f.eraVersion
+	return func() {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.era++
+		f.rows, f.version, f.eraRecord, f.eraVersion = maps.Clone(rows), version, record, eraVersion
+	}
+}
+
+// fakeClient is the access of one node to a fakeTable.
+type fakeClient struct {
+	*fakeTable
+	// stated is the era of the last response.
+	stated atomic.Int64
+}
+
+func (c *fakeClient) observe() string {
+	c.fakeTable.mutex.Lock()
+	defer c.fakeTable.mutex.Unlock()
+	c.stated.Store(int64(c.era))
+	return fmt.Sprint(c.era)
+}
+
+func (c *fakeClient) Read(ctx context.Context, key string) (hemlockclaim.Row, bool, error) {
+	row, found, err := c.fakeTable.Read(ctx, key)
+	if err == nil {
+		row.ReadEra = c.observe()
+	}
+	return row, found, err
+}
+
+func (c *fakeClient) Transact(ctx context.Context, changes []hemlockclaim.Change) ([]string, error) {
+	failed, err := c.fakeTable.Transact(ctx, changes)
+	if err != nil || failed != nil {
+		return failed, err
+	}
+	era := c.observe()
+	for _, change := range changes {
+		if !change.Delete && change.Row.Era != era {
+			return nil, hemlockclaim.NewError("write", hemlockclaim.KindUnknown, "another era")
+		}
+	}
+	return nil, nil
+}
+
+func (c *fakeClient) StatedEra() string { return fmt.Sprint(c.stated.Load()) }
+
+func (c *fakeClient) ReadEra(context.Context) (hemlockclaim.EraRecord, uint64, string, error) {
+	if c.failReads {
+		return hemlockclaim.EraRecord{}, 0, "", hemlockclaim.NewError("read", hemlockclaim.KindUnavailable, "fault")
+	}
+	stated := c.observe()
+	c.fakeTable.mutex.Lock()
+	defer c.fakeTable.mutex.Unlock()
+	return c.eraRecord, c.eraVersion, stated, nil
+}
+
+func (c *fakeClient) WriteEra(_ context.Context, version uint64, record hemlockclaim.EraRecord) (bool, error) {
+	c.fakeTable.mutex.Lock()
+	defer c.fakeTable.mutex.Unlock()
+	if version != c.eraVersion || record.Era != fmt.Sprint(c.era) {
+		return false, nil
+	}
+	c.version++
+	c.eraRecord, c.eraVersion = record, c.version
+	return true, nil
 }
 
 func newFakeTable() *fakeTable {
-	return &fakeTable{rows: map[string]hemlockclaim.Row{}}
+	return &fakeTable{rows: map[string]hemlockclaim.Row{}, eraRecord: hemlockclaim.EraRecord{Era: "0"}, eraVersion: 1, version: 1}
 }
 
 func (f *fakeTable) Read(_ context.Context, key string) (hemlockclaim.Row, bool, error) {
@@ -129,8 +208,10 @@
 }
 
 func (f *fakeTable) claimer(options ...hemlockclaim.Option) *hemlockclaim.Claimer {
-	batcher := hemlockclaim.NewBatcher(hemlockclaim.NewTransactionWriter(f))
-	return hemlockclaim.New(hemlockclaim.NewStore(f, batcher), "orders", time.Hour, options...)
+	client := &fakeClient{fakeTable: f}
+	batcher := hemlockclaim.NewBatcher(hemlockclaim.NewTransactionWriter(client))
+	options = append([]hemlockclaim.Option{hemlockclaim.WithEras(hemlockclaim.NewEraTracker(client))}, options...)
+	return hemlockclaim.New(hemlockclaim.NewStore(client, batcher), "orders", time.Hour, options...)
 }
 
 // keyAt returns a UUID version 7 with the given time and serial number.
--- a/hemlockclaim/finish.go
+++ b/hemlockclaim/finish.go
@@ -56,7 +56,8 @@
 }
 
 // settle writes the final state of a claim and retries until its context ends. A lost reply needs no special handling:
-// each step reads the row first, and at most one of the writes with the version of the claim can take effect.
+// each step reads the row first, and at most one of the writes with the version of the claim can take effect. If the table has
+// returned from an older copy and lost the claim, a finished one is written anew, so that a repeated request gets its response.
 func (c *Claimer) settle(ctx context.Context, operation string, claim Claim, final Row) error {
 	err := retry(ctx, func() (bool, error) {
 		row, found, err := c.store.Read(ctx, claim.key)
@@ -64,7 +65,16 @@
 			return false, err
 		}
 		own := found && row.Nonce == claim.nonce
-		if own && row.State == StateRunning {
+		lost, err := c.isLost(ctx, claim, row, found)
+		if err != nil {
+			return false, err
+		}
+		if own && row.State == StateRunning || lost && final.State == StateFinished {
+			era, err := c.currentEra(ctx)
+			if err != nil {
+				return false, err
+			}
+			final.Era = era.Era
 			return c.writeRow(ctx, claim.key, row.Version, final)
 		}
 		// Either the row has the final state, as an earlier write of this call has taken effect. Or the claim is to be
@@ -81,6 +91,16 @@
 	return err
 }
 
+// isLost reports whether the table has lost the row of the claim: in another era than that of the claim, there is none, or an earlier
+// one, which can only be a released one.
+func (c *Claimer) isLost(ctx context.Context, claim Claim, row Row, found bool) (bool, error) {
+	if found && (row.Nonce == claim.nonce || row.State != StateReleased) {
+		return false, nil
+	}
+	era, err := c.currentEra(ctx)
+	return era.Era != claim.era, err
+}
+
 // retry calls step until it is done or the context ends, with exponential backoff between calls. It returns the error of
 // the last call, or that of the context if the last call had none but was not done.
 func retry(ctx context.Context, step func() (done bool, err error)) error {
--- a/hemlockclaim/key.go
+++ b/hemlockclaim/key.go
@@ -68,3 +68,9 @@
 	}
 	return hex.EncodeToString(hash.Sum(nil))
 }
+
+// mayBeLost reports whether the table may have lost a claim of a valid idempotency key.
+func mayBeLost(key string, era EraRecord) bool {
+	id, _ := parseKey(key)
+	return !issuedAt(id).After(era.LostUntil)
+}
--- a/hemlockclaim/row.go
+++ b/hemlockclaim/row.go
@@ -34,8 +34,13 @@
 	Response []byte `json:"answer,omitempty"`
 	// Object is the name of the object that stores the response of a finished claim.
 	Object string `json:"object,omitempty"`
+	// Era is the era of the table for which the row was written; empty if the table states none. A write in another era counts as
+	// one with an unknown outcome.
+	Era string `json:"era,omitempty"`
 	// Version is the version of the row in the table; it is not part of the encoding.
 	Version uint64 `json:"-"`
+	// ReadEra is the era in which the row was read; it is not part of the encoding.
+	ReadEra string `json:"-"`
 }
 
 // EncodeRow returns the value of a row in the table.
--- a/hemlockclaim/state_machine_test.go
+++ b/hemlockclaim/state_machine_test.go
@@ -13,8 +13,8 @@
 	"hemlockhollow/hemlockclaim"
 )
 
-// Guards against a second run of a request under lost, late and unsent writes, failed reads, crashes, pauses and
-// releases. Runs the transitions of spec/claim.pml on the real Claimer and Batcher.
+// Guards against a second run of a request under lost, late and unsent writes, failed reads, crashes, pauses, releases, restarts of
+// nodes and returns of the table from older copies. Runs the transitions of spec/claim.pml on the real Claimer and Batcher.
 func TestAtMostOnceUnderFaults(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		var failure any
@@ -58,7 +58,11 @@
 		paused = append(paused[:i:i], paused[i+1:]...)
 		return p
 	}
+	returnFromCopy := table.copy()
 	t.Repeat(map[string]func(*rapid.T){
+		"copy":    func(*rapid.T) { returnFromCopy = table.copy() },
+		"return":  func(*rapid.T) { returnFromCopy() },
+		"restart": func(t *rapid.T) { nodes[rapid.IntRange(0, 1).Draw(t, "node")] = table.claimer() },
 		"claim": func(t *rapid.T) {
 			setFaults(t)
 			table.failReads = rapid.IntRange(0, 4).Draw(t, "reads") == 0
--- a/hemlocknode/configurationstore.go
+++ b/hemlocknode/configurationstore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"hemlockhollow/hemlockclaim"
 	"hemlockhollow/hemlockconfiguration"
 	"hemlockhollow/platform/hemlockplatform"
 )
@@ -12,6 +13,25 @@
 	return hemlockconfiguration.NewTableStore(tableRows{client}, objects{client})
 }
 
+// NewPublishingStore returns the configuration store on the platform for the publish command. With a publish, it also writes the record
+// of the table's era, if there is none.
+func NewPublishingStore(client *hemlockplatform.Client) hemlockconfiguration.Store {
+	return publishingStore{Store: NewConfigurationStore(client), claims: hemlockplatform.NewClaimStore(client)}
+}
+
+type publishingStore struct {
+	hemlockconfiguration.Store
+	claims hemlockplatform.ClaimStore
+}
+
+// SwapHead implements hemlockconfiguration.Store.
+func (s publishingStore) SwapHead(ctx context.Context, old hemlockconfiguration.RowVersion, head hemlockconfiguration.Head) error {
+	if err := hemlockclaim.InitialiseEra(ctx, s.claims); err != nil {
+		return err
+	}
+	return s.Store.SwapHead(ctx, old, head)
+}
+
 type tableRows struct {
 	client *hemlockplatform.Client
 }
--- a/hemlocknode/fixture_test.go
+++ b/hemlocknode/fixture_test.go
@@ -63,7 +63,7 @@
 		changes = append(changes, hemlockconfiguration.Change{Source: fmt.Sprint(i, ".hcl"), Text: []byte(text)})
 	}
 	client := hemlockplatform.New(c.platform, hemlockplatform.WithTimeout(waitTimeout))
-	if _, err := hemlockconfiguration.NewPublisher(NewConfigurationStore(client)).Publish(c.Context(), changes); err != nil {
+	if _, err := hemlockconfiguration.NewPublisher(NewPublishingStore(client)).Publish(c.Context(), changes); err != nil {
 		c.Fatal(err)
 	}
 }
--- a/hemlocknode/providers.go
+++ b/hemlocknode/providers.go
@@ -129,8 +129,9 @@
 	store := hemlockclaim.NewStore(table, forwarder)
 	return &platformClaims{
 		batcher: batcher,
-		claimer: hemlockclaim.New(store, placeholderService, time.Hour, hemlockclaim.WithObjects(table)),
-		table:   table,
+		claimer: hemlockclaim.New(store, placeholderService, time.Hour, hemlockclaim.WithObjects(table),
+			hemlockclaim.WithEras(hemlockclaim.NewEraTracker(table))),
+		table: table,
 	}
 }
 
--- a/main.go
+++ b/main.go
@@ -37,5 +37,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return hemlocknode.NewConfigurationStore(hemlockplatform.New(parsed.Host)), nil
+	return hemlocknode.NewPublishingStore(hemlockplatform.New(parsed.Host)), nil
 }
