--- a/hemlockrelay/target_tracker.go
+++ b/hemlockrelay/target_tracker.go
@@ -94,6 +94,13 @@
 	return t.state(), true
 }
 
+// IsLeaving reports whether the current process has announced or stated that it is leaving.
+func (t *TargetTracker) IsLeaving() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.leaving
+}
+
 func (t *TargetTracker) state() TargetState {
 	return TargetState{Service: t.last.Service, Instance: t.last.Instance, StartTime: t.last.StartTime, Slots: t.last.Slots,
 		Ready: t.last.Instance != "" && !t.leaving && !t.unreachable && t.last.Slots > 0}
