Do not count a hedge that was cancelled at once against its target

What callers saw: a healthy target got fewer calls than its share after hedge attempts at it.

Cause: of two concurrent attempts, the one that was cancelled because the other got a response first counted as timed out for its target, also when it was a hedge that had only just been sent.

Change: such an attempt counts as timed out only if it took at least the hedge delay, which a first attempt always did.

--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -214,8 +214,9 @@
 	if err != nil {
 		refusal := hemlockcall.AsRefusal(err).WithPeer(address)
 		if refusal.Reason == hemlockcall.ReasonCancelled && a.hedgeAnswered.Load() {
-			// The concurrent attempt got a response first. This attempt counts as timed out for its target.
-			a.entry.recordResult(now, address, call, hemlockselection.Result{Outcome: hemlockselection.TimedOut})
+			// The concurrent attempt got a response first.
+			outcome := a.entry.latencies.outcomeOfLoser(call.Class, now.Sub(started))
+			a.entry.recordResult(now, address, call, hemlockselection.Result{Outcome: outcome})
 			return nil, refusal
 		}
 		a.entry.recordResult(now, address, call,
--- a/hemlockrelay/hedge.go
+++ b/hemlockrelay/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockselection"
 )
 
 const (
@@ -75,6 +76,15 @@
 	return max(minHedgeDelay, time.Duration((c.mean+hedgeDeviations*c.deviation)*float64(time.Second))), true
 }
 
+// outcomeOfLoser returns how an attempt counts for its target if it was cancelled because a concurrent one got a response first. Only
+// an attempt that took longer than the hedge delay says something about its target.
+func (l *latencies) outcomeOfLoser(class string, took time.Duration) hemlockselection.Outcome {
+	if delay, ok := l.hedgeDelay(class); ok && took < delay {
+		return hemlockselection.Cancelled
+	}
+	return hemlockselection.TimedOut
+}
+
 // attemptResult is the result of a hedge attempt. Both fields are nil if none was made.
 type attemptResult struct {
 	response *hemlockcall.RelayResponse
