Attribute the refusal of a hedge to its own target

What operators saw: the log named the first target of a call for a refusal by the target of its hedge attempt, and the call was sent once more to the first one.

What the choice of targets records was not affected.

Change: the address of a refusal is the one that it carries.

--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -176,7 +176,7 @@
 		if !a.mayRetry(ctx, address, refusal) {
 			return nil, a.finalRefusal(refusal)
 		}
-		a.entry.observer.Retried(a.call, address, refusal, len(a.tried))
+		a.entry.observer.Retried(a.call, refusal.Peer, refusal, len(a.tried))
 	}
 }
 
@@ -265,7 +265,7 @@
 }
 
 // mayRetry reports whether the call gets another attempt after a refusal, and charges that attempt to the retry budget
-// if the refused one may have reached a target.
+// if the refused one may have reached a target. The address is that of the first attempt; the refusal may be that of its hedge attempt.
 func (a *attempts) mayRetry(ctx context.Context, address string, refusal *hemlockcall.Refusal) bool {
 	if ctx.Err() != nil || time.Until(a.deadline) < minRetryTime {
 		return false
@@ -284,7 +284,7 @@
 	a.markReached(address)
 	switch {
 	case refusal.Verdict != hemlockcall.VerdictUnknown:
-		a.retryAddress = address
+		a.retryAddress = refusal.Peer
 	case !a.call.Idempotent:
 		return false
 	case a.unknownOutcome == nil:
