Refuse a call whose response does not fit into the connection's queue

What callers saw: a call whose target had responded waited until its deadline, and nobody could read why.

A refusal was dropped as well while one response above the limit was queued.

Change: the peer gets a refusal with an unknown outcome that names the reason. Parcels without a body are always accepted. Holding more responses instead would have no bound, as their slots are free again.

--- a/hemlockpeer/carry_stream.go
+++ b/hemlockpeer/carry_stream.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockerror"
 	"hemlockhollow/hemlockpeer/hemlockwire"
 )
 
@@ -119,8 +120,12 @@
 		_ = c.queue.put(&hemlockwire.Parcel{Call: number, Refusal: encodeRefusal(hemlockcall.AsRefusal(err))})
 		return
 	}
-	// A response that does not fit into the queue is dropped; the call then ends at its deadline at the peer.
-	_ = c.queue.put(splitBody(&hemlockwire.Parcel{Call: number, Answer: encodeRelayResponse(response)}, response.Body)...)
+	err = c.queue.put(splitBody(&hemlockwire.Parcel{Call: number, Answer: encodeRelayResponse(response)}, response.Body)...)
+	if hemlockerror.KindOf[Kind](err) == KindCapacity {
+		// The peer does not read fast enough. It gets a refusal in place of the response, so that the caller need not wait until its
+		// deadline.
+		c.reply(number, nil, hemlockcall.RefuseUnknown(hemlockcall.ReasonConnection, "the response was dropped: "+err.Error()))
+	}
 }
 
 func (c *carryStream) finish(number uint64, cancel context.CancelFunc, accepted bool) {
--- a/hemlockpeer/send_queue.go
+++ b/hemlockpeer/send_queue.go
@@ -40,7 +40,8 @@
 	return &sendQueue{wake: make(chan struct{}, 1)}
 }
 
-// put appends parcels to the queue. When it returns an error, none of them is sent.
+// put appends parcels to the queue. When it returns an error, none of them is sent. Parcels without a body are refused only when the
+// stream has ended.
 func (q *sendQueue) put(parcels ...*hemlockwire.Parcel) error {
 	size := 0
 	for _, p := range parcels {
@@ -51,7 +52,7 @@
 		q.mutex.Unlock()
 		return hemlockerror.New("send", KindClosed, "the stream has ended")
 	}
-	if q.bytes > 0 && q.bytes+size > maxQueuedBytes {
+	if size > 0 && q.bytes > 0 && q.bytes+size > maxQueuedBytes {
 		q.mutex.Unlock()
 		return hemlockerror.New("send", KindCapacity, "the send queue is full")
 	}
