--- a/hemlockclaim/fake_table_test.go
+++ b/hemlockclaim/fake_table_test.go
@@ -65,8 +65,8 @@
 }
 
 func (c *fakeClient) observe() string {
-	c.fakeTable.mutex.Lock()
-	defer c.fakeTable.mutex.Unlock()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	c.stated.Store(int64(c.era))
 	return fmt.Sprint(c.era)
 }
@@ -100,14 +100,14 @@
 		return hemlockclaim.EraRecord{}, 0, "", hemlockclaim.NewError("read", hemlockclaim.KindUnavailable, "fault")
 	}
 	stated := c.observe()
-	c.fakeTable.mutex.Lock()
-	defer c.fakeTable.mutex.Unlock()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	return c.eraRecord, c.eraVersion, stated, nil
 }
 
 func (c *fakeClient) WriteEra(_ context.Context, version uint64, record hemlockclaim.EraRecord) (bool, error) {
-	c.fakeTable.mutex.Lock()
-	defer c.fakeTable.mutex.Unlock()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	if version != c.eraVersion || record.Era != fmt.Sprint(c.era) {
 		return false, nil
 	}
