Write seed rows again after the platform has lost them

What operators saw: a node that was started without seeds after a return of the platform from an older copy knew no other node for up to a minute.

Cause: the rows were refreshed once a minute, whatever had happened to them.

Evidence: TestNodeJoinsAfterSeedRowsWereLost failed ("the node knows the others after 55.8 s, want at most 20 s").

--- a/hemlocknode/restored_store_test.go
+++ b/hemlocknode/restored_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"hemlockhollow/hemlockconfiguration"
 	"hemlockhollow/platform/hemlockplatform"
@@ -74,3 +75,33 @@
 		})
 	}
 }
+
+// Guards against a node that finds no others for up to a minute because the platform has lost the seed rows, or returned rows of hosts
+// that no longer exist.
+func TestNodeJoinsAfterSeedRowsWereLost(t *testing.T) {
+	c := newCluster(t)
+	empty := c.store.Copy()
+	c.publish(pagesNamed("a"))
+	var addresses []string
+	for range 3 {
+		n := c.startNode("zone-a", nil)
+		eventually(t, "the node has the configuration", func() bool { return hasServices(n, "a") })
+		addresses = append(addresses, n.settings.PeersAddress)
+	}
+	time.Sleep(2 * seedRetryInterval) // until all nodes have refreshed the rows and wait for the next time
+	c.store.Restore(empty)
+	lostAt := time.Now()
+	c.seeds = nil
+	joining := c.startNode("zone-a", nil)
+	eventually(t, "the node knows the others", func() bool {
+		for _, a := range addresses {
+			if _, ok := joining.gossipDriver.Gossip().View().Get(a); !ok {
+				return false
+			}
+		}
+		return true
+	})
+	if took := time.Since(lostAt); took > 20*time.Second {
+		t.Errorf("the node knows the others after %v, want at most 20 s", took)
+	}
+}
--- a/hemlocknode/seeds.go
+++ b/hemlocknode/seeds.go
@@ -38,22 +38,27 @@
 	log    logr.Logger
 }
 
-// run writes the address of this node to one row at start. While the node knows no other live node, it then joins through
-// the rows; otherwise it refreshes the rows that are assigned to this node. It runs until the context ends.
+// run writes the address of this node to one row at start, and again when the platform has returned from an older copy and may have
+// lost it. While the node knows no other live node, it joins through the rows; otherwise it refreshes the rows that are assigned to this
+// node. It runs until the context ends.
 func (s *Seeds) run(ctx context.Context) {
 	if s.client == nil {
 		return
 	}
 	s.writeRow(ctx, s.rowKey(seedRowNumber(s.self)))
-	wait := time.Duration(0)
-	for hemlockcall.Sleep(ctx, wait) {
+	era := s.client.Era()
+	var refreshedAt time.Time
+	for wait := time.Duration(0); hemlockcall.Sleep(ctx, wait); wait = seedRetryInterval {
+		if stated := s.client.Era(); stated != era {
+			era, refreshedAt = stated, time.Time{}
+			s.writeRow(ctx, s.rowKey(seedRowNumber(s.self)))
+		}
 		if s.isAlone() {
 			s.joinFromRows(ctx)
-			wait = seedRetryInterval
-			continue
+		} else if time.Since(refreshedAt) >= seedRefreshInterval {
+			s.refreshRows(ctx)
+			refreshedAt = time.Now()
 		}
-		s.refreshRows(ctx)
-		wait = seedRefreshInterval
 	}
 }
 
