--- a/proofs/commands_test.go
+++ b/proofs/commands_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
@@ -10,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"hemlockhollow/standin/harness"
@@ -24,6 +26,8 @@
 	hosts   map[string]*harness.Host
 	loads   map[string]*harness.Process
 	results map[string]harness.LoadResults
+	// keys are the idempotency keys of orders by the names that the script gives them.
+	keys map[string]string
 }
 
 type scriptKey struct{}
@@ -34,6 +38,7 @@
 		hosts:   map[string]*harness.Host{},
 		loads:   map[string]*harness.Process{},
 		results: map[string]harness.LoadResults{},
+		keys:    map[string]string{},
 	}
 	e.Values[scriptKey{}] = s
 	e.Defer(func() {
@@ -55,8 +60,9 @@
 	byName := map[string]command{
 		"host": addHost, "publish": publish, "ready": awaitReady, "load": startLoad, "wait-load": waitLoad,
 		"crash": crash, "restart": restart, "freeze": freeze, "thaw": thaw, "shutdown": shutdown, "faults": setFaults,
+		"copy-platform": copyPlatform, "return-platform": returnPlatform,
 		"all-whole": allWhole, "at-least": atLeast, "none": none, "orders-hold": ordersHold, "version": atVersion,
-		"call": call, "counter-at-most": counterAtMost, "pause": pause, "race": race, "stalled": stalled,
+		"call": call, "order": order, "counter-at-most": counterAtMost, "pause": pause, "race": race, "stalled": stalled,
 	}
 	registered := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range byName {
@@ -209,6 +215,16 @@
 	return s.cluster.SetPlatformFaults(a[0])
 }
 
+// copyPlatform implements "copy-platform", which takes a copy of what the platform has stored.
+func copyPlatform(_ *testscript.TestScript, s *script, _ []string) error {
+	return s.cluster.CopyPlatform()
+}
+
+// returnPlatform implements "return-platform", which makes the platform return from the last copy.
+func returnPlatform(_ *testscript.TestScript, s *script, _ []string) error {
+	return s.cluster.ReturnPlatform()
+}
+
 // pause implements "pause DURATION", which waits, for example while a fault acts. Nothing is asserted on the duration.
 func pause(_ *testscript.TestScript, _ *script, a []string) error {
 	d, err := time.ParseDuration(a[0])
@@ -322,6 +338,23 @@
 	return err
 }
 
+// order implements "order HOST PATH NAME STATUS", which sends an order and expects the status. Orders of one name have the same
+// idempotency key.
+func order(_ *testscript.TestScript, s *script, a []string) error {
+	if s.keys[a[2]] == "" {
+		key, err := uuid.NewV7()
+		if err != nil {
+			return err
+		}
+		s.keys[a[2]] = key.String()
+	}
+	status, err := send(s.host(a[0]).CallerAddress(), http.MethodPost, a[1], []string{"Idempotency-Key:" + s.keys[a[2]]})
+	if err == nil && strconv.Itoa(status) != a[3] {
+		return fmt.Errorf("status %d", status)
+	}
+	return err
+}
+
 // stalled implements "stalled HOST PATH LENGTH SENT", which sends only the first SENT bytes of an upload of LENGTH bytes
 // and expects a refusal all the same.
 func stalled(_ *testscript.TestScript, s *script, a []string) error {
--- a/standin/harness/cluster.go
+++ b/standin/harness/cluster.go
@@ -161,13 +161,27 @@
 
 // SetPlatformFaults replaces the faults that the platform injects, given as JSON.
 func (c *Cluster) SetPlatformFaults(faults string) error {
-	response, err := c.client.Post("http://"+c.PlatformAddress()+"/admin/faults", "application/json", bytes.NewBufferString(faults))
+	return c.postToPlatform("faults", faults)
+}
+
+// CopyPlatform takes a copy of what the platform has stored.
+func (c *Cluster) CopyPlatform() error {
+	return c.postToPlatform("copy", "")
+}
+
+// ReturnPlatform makes the platform return from the last copy, without what was written since.
+func (c *Cluster) ReturnPlatform() error {
+	return c.postToPlatform("restore", "")
+}
+
+func (c *Cluster) postToPlatform(command, body string) error {
+	response, err := c.client.Post("http://"+c.PlatformAddress()+"/admin/"+command, "application/json", bytes.NewBufferString(body))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode >= http.StatusBadRequest {
-		return errors.Errorf("faults %s: status %d", faults, response.StatusCode)
+		return errors.Errorf("%s %s: status %d", command, body, response.StatusCode)
 	}
 	return nil
 }
