--- a/hemlockclaim/fake_table_test.go
+++ b/hemlockclaim/fake_table_test.go
@@ -26,8 +26,8 @@
 	late                // takes effect when applyLate is called, but the reply is lost
 )
 
-// fakeTable is a table that reuses a row version only after it has returned from a copy. The faults of injectFaults apply to its next transactions, one
-// each; the conditions of the changes decide about further transactions.
+// fakeTable is a table that reuses a row version only after it has returned from a copy. The faults of injectFaults apply to its next
+// transactions, one each; the conditions of the changes decide about further transactions.
 type fakeTable struct {
 	mutex        sync.Mutex
 	rows         map[string]hemlockclaim.Row
