Check the configuration's object only after a return of the platform

Each node that polls the head row sent the whole configuration to the object store once after its start. It now does so only when the era changes after its first read.

--- a/hemlocknode/configuration.go
+++ b/hemlocknode/configuration.go
@@ -54,8 +54,8 @@
 	log          logr.Logger
 	// publisher writes the active configuration to the store again after the store has lost it; nil without a store.
 	publisher *hemlockconfiguration.Publisher
-	// storeEra returns the era that the store stated last, and checkedEra is the one in which this node last checked that the store has
-	// the object of the active configuration; only readHead uses it.
+	// storeEra returns the era that the store stated last, and checkedEra is the one of the last read of the head row. In another era,
+	// the store may have lost the object of the active configuration. Only readHead uses them.
 	storeEra   func() hemlockplatform.Era
 	checkedEra hemlockplatform.Era
 	// restoring is set while the active configuration is being restored in the store.
@@ -110,9 +110,10 @@
 	if err != nil {
 		return
 	}
+	checked, era := w.checkedEra, w.storeEra()
+	w.checkedEra = era
 	if head.Version <= own.Version {
-		if era := w.storeEra(); head.Digest != own.Digest || era != w.checkedEra {
-			w.checkedEra = era
+		if head.Digest != own.Digest || checked != "" && era != checked {
 			w.restore(ctx, own, 0)
 		}
 		return
