Shorten the refusal of orders after a return of the platform to half a minute

What callers saw: for 5.5 min after a return all orders were refused with an unknown outcome, because the time in a key may be 5 min ahead of the nodes' clocks.

Change: the record of the era names how far keys may be ahead: 2 s at first. A key with a larger lead raises it, and is refused as not run until the raise is a minute old, so that each copy from which the platform may return knows it. After a return keys are refused up to the time of the return, the lead and 30 s for differing clocks: 32 s, or 5.5 min at most where callers have fast clocks.

--- a/hemlockclaim/claimer.go
+++ b/hemlockclaim/claimer.go
@@ -115,6 +115,9 @@
 	if err != nil {
 		return Claim{}, nil, wrapError("claim", KindUnavailable, err)
 	}
+	if err := c.checkLead(ctx, key, era); err != nil {
+		return Claim{}, nil, err
+	}
 	claim := Claim{key: rowKey, digest: digest, nonce: c.settings.nonce(), era: era.Era}
 	if mayBeLost(key, era) {
 		return c.claimAfterLoss(ctx, claim, key)
@@ -159,7 +162,25 @@
 	return c.settings.eras.Current(ctx, c.settings.clock())
 }
 
-// claimAfterLoss claims a key of which the table may have lost a row. Only a row of the current era proves that the key may be claimed.
+// checkLead returns an error of KindUnavailable if the time in the key is too far ahead for a claim yet.
+func (c *Claimer) checkLead(ctx context.Context, key string, era EraRecord) error {
+	if c.settings.eras == nil {
+		return nil
+	}
+	now := c.settings.clock()
+	id, _ := parseKey(key)
+	allowed, err := c.settings.eras.AllowLead(ctx, era, issuedAt(id).Sub(now), now)
+	if err != nil {
+		return wrapError("claim", KindUnavailable, err)
+	}
+	if !allowed {
+		return newError("claim", KindUnavailable, "the clock of the key's issuer is ahead of the node's; such keys are accepted within a minute")
+	}
+	return nil
+}
+
+// claimAfterLoss claims a key of which the table may have lost a row. Only a row of the current era proves that the key may be
+// claimed.
 func (c *Claimer) claimAfterLoss(ctx context.Context, claim Claim, key string) (Claim, *StoredResponse, error) {
 	row, found, err := c.store.Read(ctx, claim.key)
 	switch {
--- a/hemlockclaim/era.go
+++ b/hemlockclaim/era.go
@@ -15,6 +15,40 @@
 	// LostUntil is the latest time in the idempotency key of a claim that the table may have lost when it returned from an older
 	// copy; zero if it has never returned.
 	LostUntil time.Time `json:"lost-until,omitzero"`
+	// Lead is how far the time in a key may be ahead of a node's clock; at most maxClockSkew. The smaller it is, the sooner keys can
+	// be claimed again after a return of the table.
+	Lead time.Duration `json:"lead-ns"`
+	// NextLead replaces Lead at the time NextFrom, when all copies from which the table may return have it. 0 means that none does.
+	NextLead time.Duration `json:"next-lead-ns,omitempty"`
+	NextFrom time.Time     `json:"next-from,omitzero"`
+}
+
+const (
+	// initialLead covers callers whose clocks are synchronised.
+	initialLead = 2 * time.Second
+	// leadFactor is the factor between two leads, so that a few writes suffice for callers of all kinds.
+	leadFactor = 5
+	// maxCopyAge is the age of the oldest copy from which the table may return.
+	maxCopyAge = time.Minute
+)
+
+// allowedLead returns how far the time in a key may be ahead at the time now.
+func (r EraRecord) allowedLead(now time.Time) time.Duration {
+	if r.NextLead > r.Lead && !now.Before(r.NextFrom) {
+		return r.NextLead
+	}
+	return r.Lead
+}
+
+// WithLead returns the record with a larger lead, of which the given one is a part, from maxCopyAge after now on.
+func (r EraRecord) WithLead(lead time.Duration, now time.Time) EraRecord {
+	r.Lead = r.allowedLead(now)
+	next := max(r.Lead, initialLead)
+	for next < lead {
+		next *= leadFactor
+	}
+	r.NextLead, r.NextFrom = min(next, maxClockSkew), now.Add(maxCopyAge)
+	return r
 }
 
 // EraStore stores the EraRecord.
@@ -52,7 +86,7 @@
 		return err
 	}
 	// If others write it first, the condition fails, which is as good.
-	_, err = store.WriteEra(ctx, 0, EraRecord{Era: stated})
+	_, err = store.WriteEra(ctx, 0, EraRecord{Era: stated, Lead: initialLead})
 	return err
 }
 
@@ -97,6 +131,30 @@
 	return EraRecord{}, lastErr
 }
 
+// AllowLead reports whether a key whose time is ahead by the lead may be claimed at the time now in the era of the record. If not, it makes
+// the lead a part of the record, so that the key may be claimed later.
+func (e *EraTracker) AllowLead(ctx context.Context, record EraRecord, lead time.Duration, now time.Time) (bool, error) {
+	if record.Era == "" || lead <= record.allowedLead(now) {
+		return true, nil
+	}
+	if err := e.refreshing.Acquire(ctx, 1); err != nil {
+		return false, err
+	}
+	defer e.refreshing.Release(1)
+	newest, version, stated, err := e.store.ReadEra(ctx)
+	if err != nil || version == 0 || stated != record.Era || newest.Era != record.Era {
+		return false, err // Current takes care of another era
+	}
+	if lead > newest.allowedLead(now) && lead > newest.NextLead {
+		newest = newest.WithLead(lead, now)
+		if written, err := e.store.WriteEra(ctx, version, newest); err != nil || !written {
+			return false, err
+		}
+	}
+	e.current.Store(&newest)
+	return lead <= newest.allowedLead(now), nil
+}
+
 // known returns the record of the era that the table stated last, and false if it is not known.
 func (e *EraTracker) known() (EraRecord, bool) {
 	record := e.current.Load()
@@ -115,12 +173,20 @@
 	case !found && known == nil && stated == "":
 		return EraRecord{}, false
 	}
-	lostUntil := now.Add(maxClockSkew + maxNodeClockError)
-	if record.LostUntil.After(lostUntil) {
-		lostUntil = record.LostUntil
+	next := record
+	if !found {
+		next.Lead = maxClockSkew // whatever the lost record said
+	}
+	if known != nil {
+		next.Lead = max(next.Lead, known.Lead, known.NextLead)
+	}
+	next.Era = stated
+	next.LostUntil = now.Add(max(next.Lead, next.NextLead) + maxNodeClockError)
+	if record.LostUntil.After(next.LostUntil) {
+		next.LostUntil = record.LostUntil
 	}
-	if known != nil && known.LostUntil.After(lostUntil) {
-		lostUntil = known.LostUntil
+	if known != nil && known.LostUntil.After(next.LostUntil) {
+		next.LostUntil = known.LostUntil
 	}
-	return EraRecord{Era: stated, LostUntil: lostUntil}, true
+	return next, true
 }
