Refuse orders while a platform no longer states its era

What callers saw: nothing yet. A process that started while the platform's responses lacked the era, or had an invalid one, would have accepted orders again after 32 s, although nothing could then tell a further return. Processes that ran on refused them.

Evidence: the cases "era missing" and "era invalid" of TestClaimInAnUnconfirmedEra failed for a process that starts.

Change: a record that names an era, and a response without one, make a claim unavailable: not run.

--- a/hemlockclaim/era.go
+++ b/hemlockclaim/era.go
@@ -18,9 +18,10 @@
 	// Lead is how far the time in a key may be ahead of a node's clock; at most maxClockSkew. The smaller it is, the sooner keys can
 	// be claimed again after a return of the table.
 	Lead time.Duration `json:"lead-ns"`
-	// NextLead replaces Lead at the time NextFrom, when all copies from which the table may return have it. 0 means that none does.
+	// NextLead replaces Lead from NextFrom on, when all copies from which the table may return have it. 0 means that none does.
 	NextLead time.Duration `json:"next-lead-ns,omitempty"`
-	NextFrom time.Time     `json:"next-from,omitzero"`
+	// NextFrom is zero if NextLead is 0.
+	NextFrom time.Time `json:"next-from,omitzero"`
 }
 
 const (
@@ -63,13 +64,12 @@
 }
 
 // EraTracker knows which claims the table may have lost: each time the table returns from an older copy, the first node that notices
-// it records the time, and all nodes refuse to claim keys which an earlier attempt may have claimed before. It is safe for concurrent
-// use.
+// records the time, and all nodes refuse to claim keys that may have been claimed before. It is safe for concurrent use.
 type EraTracker struct {
 	store EraStore
 	// current is nil until the first record was read or written.
 	current atomic.Pointer[EraRecord]
-	// refreshing is held by the caller of Current that calls the table.
+	// refreshing is held by the caller that reads or writes the record in the table.
 	refreshing *semaphore.Weighted
 }
 
@@ -78,8 +78,8 @@
 	return &EraTracker{store: store, refreshing: semaphore.NewWeighted(1)}
 }
 
-// InitialiseEra writes the record of a table that has never lost a claim, unless there is a record. Who publishes a configuration calls
-// it, since there are no claims before the first one. A node never does: to it, a missing record is a lost one.
+// InitialiseEra writes the record of a table that has never lost a claim, unless there is a record. It is called with a publish, as
+// there are no claims before the first one. A node never calls it: to a node, a missing record is a lost one.
 func InitialiseEra(ctx context.Context, store EraStore) error {
 	_, version, stated, err := store.ReadEra(ctx)
 	if err != nil || version > 0 || stated == "" {
@@ -115,6 +115,10 @@
 		if err != nil {
 			return EraRecord{}, err
 		}
+		if stated == "" && record.Era != "" {
+			// Nothing would tell a return of the table from now on.
+			return EraRecord{}, newError("read era", KindUnavailable, "the table no longer states its era")
+		}
 		next, write := e.next(now, record, version > 0, stated)
 		if write {
 			// After a lost response or a conflict, the record is read again.
@@ -131,8 +135,8 @@
 	return EraRecord{}, lastErr
 }
 
-// AllowLead reports whether a key whose time is ahead by the lead may be claimed at the time now in the era of the record. If not, it makes
-// the lead a part of the record, so that the key may be claimed later.
+// AllowLead reports whether a key whose time is ahead by the lead may be claimed at the time now in the era of the record. If not, it
+// makes the lead a part of the record, so that the key may be claimed later.
 func (e *EraTracker) AllowLead(ctx context.Context, record EraRecord, lead time.Duration, now time.Time) (bool, error) {
 	if record.Era == "" || lead <= record.allowedLead(now) {
 		return true, nil
