Clear a suspect that completes, also after several crashes

Two crashes of a target whose node had just been restarted made them suspects, as that node did not remember that they complete. A node that does remember runs such requests, but a completed one cleared its records only after a single crash.

Evidence: TestCompletionClearsTheCrashesOfARestartedNode failed: the restarted node and a third one still refuse the request after it has completed elsewhere.

Change: where completions are remembered, a completed request clears the records of all its crashes. A poison request never completes, so nothing changes for it.

What remains: in a zone whose only target of a service is the one beside the restarted node, nobody can show that the request is harmless; it is refused for ten minutes.

--- a/hemlocksuspect/table.go
+++ b/hemlocksuspect/table.go
@@ -183,8 +183,8 @@
 
 // Finished records that a request is no longer in flight; completed means that the target returned a complete response. A
 // request that ended otherwise still counts as in flight for 3 s. If a suspect with a single crash completes, its record
-// is cleared, and Finished returns it for the other nodes of the zone. Finished has no effect if the target has crashed
-// since Started.
+// is cleared, and Finished returns it for the other nodes of the zone; with WithRecentCompletions, so are the records of several
+// crashes. Finished has no effect if the target has crashed since Started.
 func (t *Table) Finished(now time.Time, e Execution, completed bool) []Record {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -202,7 +202,8 @@
 	if t.completedAt != nil {
 		t.completedAt.Add(e.fingerprint, now)
 	}
-	if t.activeCrashes(now, e.fingerprint) != 1 {
+	// Without WithRecentCompletions, a request that completes is only a proof against a single crash.
+	if crashes := t.activeCrashes(now, e.fingerprint); crashes == 0 || crashes > 1 && t.completedAt == nil {
 		return nil
 	}
 	var cleared []Record
