Tell the zone when a suspected request has completed

What callers saw: a request that had been in flight at a crash, and that has completed since, was still taken for a suspect by the other nodes of the zone until they compared their records.

Evidence: TestGateReportsClearedCrashes; before, the gate had no way to report them.

--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -41,6 +41,8 @@
 	loadSource func(now time.Time) []hemlockcall.ServiceLoad
 	// onReport is called without the lock.
 	onReport func(report hemlockcall.TargetReport, source ReportSource)
+	// onCleared is called without the lock.
+	onCleared func(records []hemlocksuspect.Record)
 
 	// mutex is locked before the mutex of the controller.
 	mutex sync.Mutex
@@ -70,7 +72,7 @@
 func NewGate(target hemlockcall.Relayer, suspects *hemlocksuspect.Table, observer Observer, options ...GateOption) *Gate {
 	g := &Gate{target: target, suspects: suspects, observer: observer,
 		loadSource: func(time.Time) []hemlockcall.ServiceLoad { return nil },
-		onReport:   func(hemlockcall.TargetReport, ReportSource) {}}
+		onReport:   func(hemlockcall.TargetReport, ReportSource) {}, onCleared: func([]hemlocksuspect.Record) {}}
 	for _, o := range options {
 		o(g)
 	}
@@ -229,7 +231,9 @@
 	}); panicked != nil {
 		err = hemlockcall.RefuseUnknown(hemlockcall.ReasonPanic, panicked.Error())
 	}
-	g.suspects.Finished(time.Now(), execution, err == nil)
+	if cleared := g.suspects.Finished(time.Now(), execution, err == nil); len(cleared) > 0 {
+		g.onCleared(cleared)
+	}
 	return response, err
 }
 
--- a/hemlockrelay/gate_test.go
+++ b/hemlockrelay/gate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlocksuspect"
 )
 
 func TestGate(t *testing.T) {
@@ -230,3 +231,19 @@
 		})
 	})
 }
+
+// Guards against a completed request that other nodes of the zone go on refusing as a suspect.
+func TestGateReportsClearedCrashes(t *testing.T) {
+	suspects := hemlocksuspect.New("self", hemlocksuspect.WithRecentCompletions(time.Minute))
+	suspects.Started(newCall().Fingerprint)
+	suspects.TargetCrashed(time.Now())
+	var cleared []hemlocksuspect.Record
+	g := NewGate(&fakeTarget{}, suspects, noopObserver{}, WithOnCleared(func(records []hemlocksuspect.Record) { cleared = records }))
+	g.SetState(time.Now(), TargetState{Service: "s", Instance: "i", Slots: 1, Ready: true})
+	if _, err := g.Relay(t.Context(), newCall()); err != nil {
+		t.Fatal(err)
+	}
+	if len(cleared) != 1 || cleared[0].Fingerprint != newCall().Fingerprint || !cleared[0].Cleared {
+		t.Errorf("cleared records %+v, want the one of the completed request", cleared)
+	}
+}
--- a/hemlockrelay/statement.go
+++ b/hemlockrelay/statement.go
@@ -6,6 +6,7 @@
 
 	"hemlockhollow/hemlockadmission"
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlocksuspect"
 )
 
 // statements is what a gate knows of the statements of its target's current process.
@@ -26,6 +27,12 @@
 	return func(g *Gate) { g.onReport = callback }
 }
 
+// WithOnCleared sets a callback for the crash records that a completed call has cleared, for the other nodes of the zone. It must not
+// block.
+func WithOnCleared(onCleared func(records []hemlocksuspect.Record)) GateOption {
+	return func(g *Gate) { g.onCleared = onCleared }
+}
+
 // ReportSource says from whom a gate knows a statement of its target.
 type ReportSource string
 
