--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # the case could not run. Needs the build of deploy/system.toml and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/hemlockhollow ] && [ -x target/review/harness ] || { echo "not built" >&2; exit 2; }
-exec target/review/harness -record review/4/record.txt -trouble "${TROUBLE:-1}" left-during-stop
+exec target/review/harness -record review/4/record.txt -trouble "${TROUBLE:-1}" foreign-check-in
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -18,6 +18,8 @@
 	reader *bufio.Reader
 	// closed is set after an answer that closes the connection, and after a failure.
 	closed bool
+	// stall is how long the client pauses before it sends the last eighth of a request.
+	stall time.Duration
 }
 
 // connectTimeout is how long a client allows for a new connection.
@@ -80,6 +82,14 @@
 	c.rec.log("client  sends %s %s %s, %d bytes, time limit %d ms, from %s", r.method, r.path, r.id, len(r.body), r.limit.Milliseconds(),
 		c.conn.LocalAddr())
 	_ = c.conn.SetDeadline(time.Now().Add(r.limit))
+	if c.stall > 0 {
+		most := len(out) / 8 * 7
+		if _, err := c.conn.Write(out[:most]); err != nil {
+			return err
+		}
+		time.Sleep(c.stall)
+		out = out[most:]
+	}
 	_, err := c.conn.Write(out)
 	return err
 }
--- a/review/harness/pipeline.go
+++ b/review/harness/pipeline.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -53,6 +54,7 @@
 		a := p.waiting[0]
 		p.waiting = p.waiting[1:]
 		a.status, a.endedAt = response.StatusCode, p.rec.now()
+		a.sealed = response.Header.Get("Response-Seal") != ""
 		a.whole = response.Header.Get("Response-Seal") == seal(a.id, body)
 		p.rec.log("client  %s is answered %d, whole %t, closes %t", a.id, a.status, a.whole, response.Close)
 		if response.Close {
@@ -71,6 +73,9 @@
 	}
 }
 
+// pipelineWork is the work of each request.
+const pipelineWork = 250 * time.Millisecond
+
 // casePipeline: a machine is stopped as planned while clients send safe requests behind each other on kept connections. Rule LOST.
 func casePipeline(f *fleet, trouble bool) (verdict, error) {
 	f.publish(7, safeRoute("browse", "catalogue"))
@@ -103,7 +108,7 @@
 					p = &pipeline{client: c}
 					go p.receive()
 				}
-				a := p.send(get("/browse/250/1500"))
+				a := p.send(get(fmt.Sprintf("/browse/%d/1500", pipelineWork.Milliseconds())))
 				if a == nil {
 					p = nil
 					continue
@@ -127,18 +132,26 @@
 	time.Sleep(time.Second)
 
 	var v verdict
-	ran := map[string]bool{}
+	ran := map[string]time.Duration{}
 	for _, m := range machines {
 		for _, r := range m.upstream.allRuns() {
-			ran[r.id] = true
+			ran[r.id] = r.startedAt
 		}
 	}
 	mutex.Lock()
 	defer mutex.Unlock()
 	for _, a := range sent {
-		if a.err != nil && ran[a.id] && a.sentAt-termAt > 3*time.Second {
+		startedAt, ok := ran[a.id]
+		if !ok || a.sentAt-termAt <= 3*time.Second {
+			continue
+		}
+		switch {
+		case a.err != nil:
 			v.breach("LOST: request %s was sent %.3f s after SIGTERM on a kept connection, was passed on to its upstream, and the connection "+
 				"ended without an answer", a.id, (a.sentAt - termAt).Seconds())
+		case a.status >= http.StatusInternalServerError && !a.sealed && a.endedAt < startedAt+pipelineWork:
+			v.breach("LOST: request %s was sent %.3f s after SIGTERM on a kept connection, its upstream was at work, and it was broken off "+
+				"with a %d of the node's own", a.id, (a.sentAt - termAt).Seconds(), a.status)
 		}
 	}
 	return v, nil
--- a/review/harness/uploads.go
+++ b/review/harness/uploads.go
@@ -127,7 +127,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	for wave := range 3 {
-		f.rec.log("wave %d: twelve uploads of %d bytes each", wave+1, size)
+		f.rec.log("wave %d: twelve uploads of %d bytes each; each stalls for a second before its last eighth", wave+1, size)
 		var uploads sync.WaitGroup
 		for range 12 {
 			uploads.Add(1)
@@ -138,6 +138,7 @@
 					return
 				}
 				defer c.close()
+				c.stall = time.Second
 				c.do(request{id: newID(), method: http.MethodPost, host: "shop.example", path: "/scan/72/6000", limit: 5 * time.Second, body: body})
 			}()
 		}
