--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -64,10 +64,9 @@
 	sentAt, endedAt time.Duration
 	status          int
 	sealed, whole   bool
-	// crossed is set if the node had closed the connection before any byte of an answer, so that the request may have crossed
-	// the close.
-	crossed bool
-	err     error
+	// behind is set if the request was sent behind an answer that closed the connection.
+	behind bool
+	err    error
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -34,13 +34,14 @@
 // cases are the cases by name; trouble is false for a run without the disruption.
 var cases = map[string]func(f *fleet, trouble bool) (verdict, error){
 	"late-copy":          caseLateCopy,
+	"pipeline":           casePipeline,
 	"uploads":            caseUploads,
+	"foreign-check-in":   caseForeignCheckIn,
 	"left-during-stop":   caseLeftDuringStop,
+	"silent-connections": caseSilentConnections,
 	"reused-address":     caseReusedAddress,
-	"foreign-check-in":   caseForeignCheckIn,
 	"slow-reader":        caseSlowReader,
-	"pipeline":           casePipeline,
-	"silent-connections": caseSilentConnections,
+	"descriptors":        caseDescriptors,
 }
 
 func main() {
