Send an order to a target at most once, also after a refusal

Callers saw: an order ran twice, or was answered 503 and had run.

Cause: a retry at a target that has refused the order before gets a response that could be a copy of the first refusal: both have the id of the order. A connection of its own does not help where responses cross connections.

Change: a call that is not idempotent goes to another target after a refusal, or is refused as not run. So a refusal from a target is the only one that this target can have sent for the call.

TestEntryRetriesRefusedCall expected a second attempt at the same target also for such calls. That was wrong: the verdict of that attempt cannot be known. It now checks that there is none, and that another target gets the call.

--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -181,9 +181,10 @@
 }
 
 // nextAddress chooses a target that was not tried, if there is one and the call may reach another target. Otherwise it
-// chooses the last target that declared that it had not run the call: targets that refuse at random may accept the
-// retry. It returns false if there is neither, or after maxTargetAttempts-1 attempts at addresses that were tried
-// before.
+// chooses the last target that declared that it had not run the call, if the call is idempotent: targets that refuse at
+// random may accept the retry. For any other call, the refusal of a target that has refused it before could be a copy of
+// that refusal, and the verdict not-run wrong. It returns false if there is neither, or after maxTargetAttempts-1
+// attempts at addresses that were tried before.
 func (a *attempts) nextAddress(now time.Time) (string, bool) {
 	if len(a.reached) < a.maxTargets {
 		if target, err := a.entry.selector.Pick(now, a.call.Service, a.tried); err == nil {
@@ -192,6 +193,9 @@
 			return target.Address, true
 		}
 	}
+	if !a.call.Idempotent {
+		return "", false
+	}
 	a.sameTargetRetries++
 	return a.retryAddress, a.retryAddress != "" && a.sameTargetRetries < maxTargetAttempts && a.entry.selector.Acquire(a.retryAddress)
 }
@@ -290,7 +294,8 @@
 	case a.unknownOutcome == nil:
 		a.unknownOutcome = refusal
 	}
-	if a.targetAttempts >= maxTargetAttempts || len(a.reached) >= a.maxTargets && a.retryAddress == "" {
+	mayRepeat := a.call.Idempotent && a.retryAddress != ""
+	if a.targetAttempts >= maxTargetAttempts || len(a.reached) >= a.maxTargets && !mayRepeat {
 		return false
 	}
 	return a.entry.budget.Spend(time.Now(), a.call.Service, a.call.Priority)
--- a/hemlockrelay/entry_test.go
+++ b/hemlockrelay/entry_test.go
@@ -139,8 +139,9 @@
 	}}
 }
 
-// Guards against a call that fails although a target that refused it before execution would accept it now, and against
-// attempts at more targets than allowed. The first fault occurs when all targets of a service refuse half of their
+// Guards against a call that fails although a target that refused it before execution would accept it now, against
+// attempts at more targets than allowed, and against a second attempt of an order at a target, whose response could be a
+// copy of the first refusal. The first fault occurs when all targets of a service refuse half of their
 // calls at random: each target that the call may reach refuses it once and would accept the next attempt.
 func TestEntryRetriesRefusedCall(t *testing.T) {
 	for _, c := range []struct {
@@ -151,7 +152,9 @@
 		attempts   int
 	}{
 		{"to a target that refused it", fakeTransport{"a": refusingFirst(1), "b": refusingFirst(1)}, true, true, 3},
-		{"also when it is not idempotent", fakeTransport{"a": refusingFirst(1), "b": refusingFirst(1)}, false, true, 3},
+		{"to another target when it is not idempotent", fakeTransport{"a": refusingFirst(1), "b": {}}, false, true, 2},
+		{"never to the same target when it is not idempotent", fakeTransport{"a": refusingFirst(1), "b": refusingFirst(1)}, false, false, 2},
+		{"not to the only target when it is not idempotent", fakeTransport{"a": refusingFirst(1)}, false, false, 1},
 		{"to the only target", fakeTransport{"a": refusingFirst(2)}, true, true, 3},
 		{"in at most maxTargetAttempts attempts", fakeTransport{"a": refusingFirst(9), "b": refusingFirst(9)}, true, false, maxTargetAttempts},
 		{"not to a third target", fakeTransport{"a": refusingFirst(9), "b": refusingFirst(9), "c": refusingFirst(9)}, true, false,
