Give each order a connection to its target of its own in hemlockhollow node

No user has reported it.

Evidence: TestRepeatedRefusalOfAnEarlierRequest fails with the shared connections (not-run, although the target ran the order).

Change: a request that must run at most once is sent on a connection that carries nothing else. Idle connections are closed when the target has as many as it accepts (TestIdleConnectionsMakeRoomForOrders).

--- a/hemlocktarget/client.go
+++ b/hemlocktarget/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockhollow/hemlockcall"
@@ -22,7 +23,10 @@
 	// address is empty until the target has announced itself.
 	address        string
 	maxConnections int
-	transport      *http.Transport
+	// transport reuses its connections; singleUse opens one for each request.
+	transport, singleUse *http.Transport
+	// openConnections counts the connections of both transports.
+	openConnections atomic.Int64
 }
 
 // Option changes a default of a Client.
@@ -84,19 +88,42 @@
 		o(&s)
 	}
 	c := &Client{settings: s, maxConnections: s.maxConnections}
-	c.transport = c.newTransport(s.maxConnections)
+	c.setTransports()
 	return c
 }
 
+// dial opens a connection. If the target has as many as it accepts, it first closes the idle ones.
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c.mutex.Lock()
+	pooled, maxConnections := c.transport, c.maxConnections
+	c.mutex.Unlock()
+	if c.openConnections.Load() >= int64(maxConnections) {
+		pooled.CloseIdleConnections()
+	}
+	connection, err := c.settings.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c.openConnections.Add(1)
+	return hemlocknet.NewConn(&countedConnection{Conn: connection, open: &c.openConnections}), nil
+}
+
+// countedConnection decreases a count when it is closed.
+type countedConnection struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConnection) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 func (c *Client) newTransport(maxConnections int) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := c.settings.dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return hemlocknet.NewConn(connection), nil
-		},
+		DialContext:            c.dial,
 		DisableCompression:     true,
 		MaxConnsPerHost:        maxConnections,
 		MaxIdleConns:           maxConnections,
@@ -130,10 +157,15 @@
 // replaceTransport must be called with the mutex locked. The old transport closes its connections as their requests end.
 func (c *Client) replaceTransport() {
 	old := c.transport
-	c.transport = c.newTransport(c.maxConnections)
+	c.setTransports()
 	old.CloseIdleConnections()
 }
 
+func (c *Client) setTransports() {
+	c.transport, c.singleUse = c.newTransport(c.maxConnections), c.newTransport(c.maxConnections)
+	c.singleUse.DisableKeepAlives = true
+}
+
 // Close closes the idle connections. Requests in flight are not interrupted.
 func (c *Client) Close() {
 	c.mutex.Lock()
@@ -141,8 +173,14 @@
 	c.transport.CloseIdleConnections()
 }
 
-func (c *Client) addressAndTransport() (string, *http.Transport) {
+// addressAndTransport returns the address of the target and the transport for a request. Responses carry no id, so on a reused
+// connection a late copy of an earlier refusal would count as the response. A request that must run at most once therefore gets a
+// connection of its own.
+func (c *Client) addressAndTransport(atMostOnce bool) (string, *http.Transport) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if atMostOnce {
+		return c.address, c.singleUse
+	}
 	return c.address, c.transport
 }
--- a/hemlocktarget/invoke.go
+++ b/hemlocktarget/invoke.go
@@ -32,7 +32,7 @@
 
 // Invoke implements hemlockcall.Invoker. It sends the request at most once and never retries it.
 func (c *Client) Invoke(ctx context.Context, request *hemlockcall.Request) (*hemlockcall.Response, error) {
-	address, transport := c.addressAndTransport()
+	address, transport := c.addressAndTransport(request.AtMostOnce)
 	if address == "" {
 		return nil, hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "the target has not announced itself")
 	}
--- a/hemlocktarget/verdict_test.go
+++ b/hemlocktarget/verdict_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -216,3 +217,52 @@
 	checkRefusal(t, err, hemlockcall.VerdictNotRun, hemlockcall.ReasonOverload)
 	equal(t, "Retry-After", hemlockcall.AsRefusal(err).RetryAfter, 3*time.Second)
 }
+
+// repeatRefusal refuses the first request of the first connection, repeats the refusal there when the next request arrives, and runs
+// all other requests.
+func repeatRefusal(target *rawTarget, n int, c net.Conn, r *bufio.Reader) {
+	for served := 0; target.readRequest(r); served++ {
+		if n == 0 {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n")
+		}
+		if n > 0 || served > 0 {
+			_, _ = io.WriteString(c, okResponse)
+		}
+	}
+}
+
+// Guards against an order that runs although its caller was told that it had not, because the target repeated an earlier refusal.
+func TestRepeatedRefusalOfAnEarlierRequest(t *testing.T) {
+	target := startRawTarget(t, repeatRefusal)
+	client := startClient(t, target.address, WithNotRunStatuses(func(status int) bool { return status == 503 }))
+	_, err := client.Invoke(t.Context(), newRequest(http.MethodPost, "first", nil, 0))
+	checkRefusal(t, err, hemlockcall.VerdictNotRun, hemlockcall.ReasonOverload)
+	order := newRequest(http.MethodPost, "order", nil, 0)
+	order.AtMostOnce = true
+	_, err = invokeAndRead(t.Context(), client, order)
+	noError(t, err)
+}
+
+// Guards against more connections than the target accepts: those that are idle count too.
+func TestIdleConnectionsMakeRoomForOrders(t *testing.T) {
+	var most atomic.Int64
+	var open atomic.Int64
+	target := startRawTarget(t, func(target *rawTarget, _ int, c net.Conn, r *bufio.Reader) {
+		most.Store(max(most.Load(), open.Add(1)))
+		defer open.Add(-1)
+		for target.readRequest(r) {
+			_, _ = io.WriteString(c, okResponse)
+		}
+	})
+	client := startClient(t, target.address, WithMaxConnections(1))
+	for i := range 6 {
+		request := newRequest(http.MethodPost, "k", nil, 0)
+		request.AtMostOnce = i%2 == 1
+		_, err := invokeAndRead(t.Context(), client, request)
+		noError(t, err)
+		time.Sleep(20 * time.Millisecond) // the target sees the end of a connection
+	}
+	if most.Load() > 2 { // an idle connection is closed while the next one is opened
+		t.Errorf("%d connections at a time, want at most 2 for a limit of 1", most.Load())
+	}
+}
