Test that orders over slow, silent and cut links are never refused falsely

The test delays, holds back and cuts the bytes between two nodes in either direction, also within long bodies.

--- /dev/null
+++ b/hemlockpeer/slow_link_test.go
@@ -0,0 +1,144 @@
+package hemlockpeer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+// faultyLink forwards connections to a server. Each of the two functions gets the bytes read from one side; it may wait, and returns
+// how many of them are forwarded. If it forwards fewer, the connection is reset.
+type faultyLink struct {
+	toServer, toClient func(n int) int
+}
+
+func (l faultyLink) start(t *testing.T, server string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	noError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", server)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			go forward(far, near, l.toServer)
+			go forward(near, far, l.toClient)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func forward(to, from net.Conn, pass func(n int) int) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+	}()
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		passed := pass(n)
+		if _, err := to.Write(buffer[:passed]); err != nil || passed < n {
+			_ = from.(*net.TCPConn).SetLinger(0)
+			return
+		}
+	}
+}
+
+// sometimes returns a function that applies a fault to one part in ten.
+func sometimes(fault func(n int) int) func(n int) int {
+	return func(n int) int {
+		if rand.IntN(10) > 0 {
+			return n
+		}
+		return fault(n)
+	}
+}
+
+// Guards against an order that runs although the node that sent it to a slow, silent or cut off peer says that it has not, and
+// against an order that such a peer gets twice.
+func TestOrdersOverFaultyLinks(t *testing.T) {
+	whole := func(n int) int { return n }
+	delay := func(d time.Duration) func(int) int {
+		return func(n int) int {
+			time.Sleep(d)
+			return n
+		}
+	}
+	cut := func(n int) int { return rand.IntN(n) }
+	for name, link := range map[string]faultyLink{
+		"slow both ways":      {sometimes(delay(300 * time.Millisecond)), sometimes(delay(300 * time.Millisecond))},
+		"silent to the peer":  {sometimes(delay(1500 * time.Millisecond)), whole},
+		"silent to the node":  {whole, sometimes(delay(1500 * time.Millisecond))},
+		"cut off at the peer": {sometimes(cut), whole},
+		"cut off at the node": {whole, sometimes(cut)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var mutex sync.Mutex
+			runs := map[string]int{}
+			address := link.start(t, startRelayServer(t, func(_ context.Context, call *hemlockcall.RelayRequest,
+			) (*hemlockcall.RelayResponse, error) {
+				mutex.Lock()
+				runs[call.ID]++
+				mutex.Unlock()
+				time.Sleep(5 * time.Millisecond)
+				return &hemlockcall.RelayResponse{Status: 200, Body: call.Body}, nil
+			}))
+			client := NewRelayClient()
+			defer client.Close()
+			refused := sendOrders(t, client, address)
+			time.Sleep(2 * time.Second) // what the link still holds arrives
+			mutex.Lock()
+			defer mutex.Unlock()
+			for id, count := range runs {
+				if count > 1 || refused[id] {
+					t.Errorf("order %s ran %d times; refused as not run: %v", id, count, refused[id])
+				}
+			}
+			t.Logf("%d orders ran, %d were refused as not run", len(runs), len(refused))
+		})
+	}
+}
+
+// sendOrders sends orders over several goroutines for a while, some with long bodies, and returns those that were refused as not run.
+func sendOrders(t *testing.T, client *RelayClient, address string) map[string]bool {
+	t.Helper()
+	var mutex sync.Mutex
+	refused := map[string]bool{}
+	var group sync.WaitGroup
+	end := time.Now().Add(3 * time.Second)
+	for sender := range 16 {
+		group.Go(func() {
+			for number := 0; time.Now().Before(end); number++ {
+				call := newRelayRequest(make([]byte, max(0, rand.IntN(400<<10)-(300<<10))))
+				call.ID, call.Idempotent = fmt.Sprintf("%d-%d", sender, number), false
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(50+rand.IntN(1500))*time.Millisecond)
+				_, err := client.Relay(ctx, address, call)
+				cancel()
+				if err != nil && hemlockcall.AsRefusal(err).Verdict == hemlockcall.VerdictNotRun {
+					mutex.Lock()
+					refused[call.ID] = true
+					mutex.Unlock()
+				}
+			}
+		})
+	}
+	group.Wait()
+	return refused
+}
