Take no member from gossip without a valid address

The same cause as in the list of nodes: a member with a port out of range stood in the view of every node and was chosen as a target or as a probe.

--- a/hemlockgossip/message.go
+++ b/hemlockgossip/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"hemlockhollow/hemlockmember"
+	"hemlockhollow/hemlocknet"
 	"hemlockhollow/hemlockpeer"
 	"hemlockhollow/hemlocksuspect"
 )
@@ -39,7 +40,7 @@
 	return message
 }
 
-// decodeMessage omits members with an unknown state. The engine ignores the purpose of a message of an unknown kind.
+// decodeMessage omits members with an unknown state or without a valid address. The engine ignores the purpose of a message of an unknown kind.
 func decodeMessage(m hemlockpeer.GossipMessage) hemlockmember.Message {
 	message := hemlockmember.Message{
 		From:                 m.From,
@@ -51,7 +52,7 @@
 		Alive:                m.Alive,
 	}
 	for _, r := range m.Members {
-		if r.State > uint32(hemlockmember.Dead) {
+		if r.State > uint32(hemlockmember.Dead) || !hemlocknet.ValidAddress(r.Address) {
 			continue
 		}
 		message.Members = append(message.Members, hemlockmember.Member{
