--- a/hemlockrelay/target_tracker.go
+++ b/hemlockrelay/target_tracker.go
@@ -46,7 +46,8 @@
 	}
 	switch {
 	case t.last.Instance == "":
-	case a.StartTime != 0 && a.StartTime < t.last.StartTime:
+	case a.StartTime < t.last.StartTime && (a.StartTime != 0 || !a.Deregistered):
+		// A previous process, or another writer, which does not know when the target started.
 		return t.state(), false
 	case a.Instance == t.last.Instance && (a.StartTime == t.last.StartTime || a.StartTime == 0 || t.last.StartTime == 0):
 		if !a.Deregistered && a.Sequence <= t.last.Sequence {
@@ -55,7 +56,7 @@
 		a.StartTime = max(a.StartTime, t.last.StartTime)
 		a.Sequence = max(a.Sequence, t.last.Sequence)
 		a.Leaving = a.Leaving || t.leaving
-	case a.Deregistered:
+	case a.Deregistered && a.StartTime <= t.last.StartTime:
 		// A previous process deregistered after a new one had announced itself.
 		return t.state(), false
 	}
--- a/hemlockrelay/target_tracker_test.go
+++ b/hemlockrelay/target_tracker_test.go
@@ -29,6 +29,12 @@
 			[]Announcement{announcement("a", 1, 7), leaving(announcement("a", 1, 8)), announcement("a", 2, 1)}, "a", true},
 		{"not ready after a deregistration without an earlier leaving announcement",
 			[]Announcement{announcement("a", 1, 1), deregistered(Announcement{Instance: "a"})}, "a", false},
+		{"ignores an announcement without a start time",
+			[]Announcement{announcement("a", 1, 1), leaving(announcement("a", 0, 9))}, "a", true},
+		{"ignores another instance without a start time",
+			[]Announcement{announcement("a", 1, 1), announcement("b", 0, 9)}, "a", true},
+		{"not ready after a new process deregistered before it announced itself",
+			[]Announcement{announcement("a", 1, 1), deregistered(announcement("a", 2, 0))}, "a", false},
 		// Guards against a restarted node whose first announcement is a deregistration without a start time.
 		{"not ready after a later announcement of a deregistered process",
 			[]Announcement{deregistered(Announcement{Instance: "a"}), announcement("a", 1, 5)}, "a", false},
