Keep the gate usable under a huge rate limit and after a panic

By reading (review): a Server-Limit of more than about 3.7e19 overflows the conversion to int on x86-64. The queue limit is then negative, the last of an empty queue is taken, and the call panics with the locks of the controller and the gate held: every later call at the target hangs.

Change: the queue limit is bounded before the conversion. The controller and the gate release their locks by deferred calls, also when a call panics.

--- a/hemlockadmission/controller.go
+++ b/hemlockadmission/controller.go
@@ -71,105 +71,105 @@
 // Offer asks to run a request. The request is admitted or refused immediately, or queued; see Ticket.Queued.
 func (c *Controller[T]) Offer(now time.Time, attributes Attributes, value T) *Ticket[T] {
 	t := &Ticket[T]{Value: value, Attributes: attributes, arrival: now, deadline: now.Add(attributes.Remaining)}
+	c.locked(func(decided *[]*Ticket[T]) {
+		c.sequence++
+		t.sequence = c.sequence
+		switch {
+		case c.limit.slots == 0:
+			c.refuse(t, hemlockcall.ReasonUnavailable, "the target is not available")
+		case c.isLate(now, t):
+			c.counters.Late++
+			c.refuse(t, hemlockcall.ReasonDeadline, "the remaining time is too short for the request to complete")
+		case attributes.Priority < c.minPriority(now) || !c.settings.disabled[NestedPacing] && !c.classOf(attributes.Class).allow(now):
+			c.refuseForLoad(now, t, decided)
+		case c.hasSlotFor(t) && c.next() == nil && c.rate.allows(now):
+			c.admit(t)
+		default:
+			c.enqueue(now, t, decided)
+		}
+	})
+	return t
+}
+
+// locked runs a function with the lock held, and then calls onDecided for the queued tickets that it has decided. The lock is
+// released also if the function panics.
+func (c *Controller[T]) locked(run func(decided *[]*Ticket[T])) {
 	var decided []*Ticket[T]
-	c.mutex.Lock()
-	c.sequence++
-	t.sequence = c.sequence
-	switch {
-	case c.limit.slots == 0:
-		c.refuse(t, hemlockcall.ReasonUnavailable, "the target is not available")
-	case c.isLate(now, t):
-		c.counters.Late++
-		c.refuse(t, hemlockcall.ReasonDeadline, "the remaining time is too short for the request to complete")
-	case attributes.Priority < c.minPriority(now) || !c.settings.disabled[NestedPacing] && !c.classOf(attributes.Class).allow(now):
-		c.refuseForLoad(now, t, &decided)
-	case c.hasSlotFor(t) && c.next() == nil && c.rate.allows(now):
-		c.admit(t)
-	default:
-		c.enqueue(now, t, &decided)
-	}
-	c.mutex.Unlock()
+	func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		run(&decided)
+	}()
 	c.notify(decided)
-	return t
 }
 
 // Finish records the outcome of an admitted request, frees its slot and admits queued requests. It has no effect on a ticket
 // that is not admitted or has finished already.
 func (c *Controller[T]) Finish(now time.Time, t *Ticket[T], o Outcome) {
-	var decided []*Ticket[T]
-	c.mutex.Lock()
-	if t.state == stateRunning {
-		t.state = stateFinished
-		c.limit.recordOutcome(now, o, c.inFlight)
-		c.classOf(t.Attributes.Class).recordOutcome(now, o)
-		c.inFlight--
-		if t.Attributes.Suspect {
-			c.runningSuspects--
+	c.locked(func(decided *[]*Ticket[T]) {
+		if t.state == stateRunning {
+			t.state = stateFinished
+			c.limit.recordOutcome(now, o, c.inFlight)
+			c.classOf(t.Attributes.Class).recordOutcome(now, o)
+			c.inFlight--
+			if t.Attributes.Suspect {
+				c.runningSuspects--
+			}
+			c.admitQueued(now, decided)
 		}
-		c.admitQueued(now, &decided)
-	}
-	c.mutex.Unlock()
-	c.notify(decided)
+	})
 }
 
 // Cancel refuses a queued ticket and calls onDecided for it. It has no effect on an admitted ticket, whose slot stays in
 // use until Finish.
 func (c *Controller[T]) Cancel(now time.Time, t *Ticket[T]) {
-	var decided []*Ticket[T]
-	c.mutex.Lock()
-	if t.state == stateQueued {
-		c.queueOf(t).remove(t)
-		c.counters.Cancelled++
-		c.refuse(t, hemlockcall.ReasonCancelled, "the caller cancelled the request")
-		decided = append(decided, t)
-		c.admitQueued(now, &decided)
-	}
-	c.mutex.Unlock()
-	c.notify(decided)
+	c.locked(func(decided *[]*Ticket[T]) {
+		if t.state == stateQueued {
+			c.queueOf(t).remove(t)
+			c.counters.Cancelled++
+			c.refuse(t, hemlockcall.ReasonCancelled, "the caller cancelled the request")
+			*decided = append(*decided, t)
+			c.admitQueued(now, decided)
+		}
+	})
 }
 
 // RefuseLate refuses the queued requests whose remaining time has become too short for them to complete, and admits others
 // if slots are free and the rate limit allows it. Call it every 10 to 20 ms while requests are queued.
 func (c *Controller[T]) RefuseLate(now time.Time) {
-	var decided []*Ticket[T]
-	c.mutex.Lock()
-	c.refuseAllLate(now, &decided)
-	c.admitQueued(now, &decided)
-	c.mutex.Unlock()
-	c.notify(decided)
+	c.locked(func(decided *[]*Ticket[T]) {
+		c.refuseAllLate(now, decided)
+		c.admitQueued(now, decided)
+	})
 }
 
 // SetSlots applies the number of slots of the target. 0 means that the target is not available; all queued requests are then
 // refused. A target that becomes available again goes through slow start, unless SlowStart is disabled.
 func (c *Controller[T]) SetSlots(now time.Time, slots int) {
-	var decided []*Ticket[T]
-	c.mutex.Lock()
-	slowStart := c.limit.slots == 0 && slots > 0 && !c.settings.disabled[SlowStart]
-	if c.limit.slots == 0 {
-		c.limit.value = float64(slots)
-	}
-	c.limit.setSlots(slots, slowStart)
-	if slots == 0 {
-		for t := c.last(); t != nil; t = c.last() {
-			c.queueOf(t).remove(t)
-			c.refuse(t, hemlockcall.ReasonUnavailable, "the target is no longer available")
-			decided = append(decided, t)
+	c.locked(func(decided *[]*Ticket[T]) {
+		slowStart := c.limit.slots == 0 && slots > 0 && !c.settings.disabled[SlowStart]
+		if c.limit.slots == 0 {
+			c.limit.value = float64(slots)
 		}
-	}
-	c.admitQueued(now, &decided)
-	c.mutex.Unlock()
-	c.notify(decided)
+		c.limit.setSlots(slots, slowStart)
+		if slots == 0 {
+			for t := c.last(); t != nil; t = c.last() {
+				c.queueOf(t).remove(t)
+				c.refuse(t, hemlockcall.ReasonUnavailable, "the target is no longer available")
+				*decided = append(*decided, t)
+			}
+		}
+		c.admitQueued(now, decided)
+	})
 }
 
 // SetRateLimit applies the limit on the requests per second that the target accepts, or removes it.
 func (c *Controller[T]) SetRateLimit(now time.Time, limit hemlockcall.RateLimit) {
-	var decided []*Ticket[T]
-	c.mutex.Lock()
-	c.rate.set(now, limit)
-	c.trimQueue(now, &decided)
-	c.admitQueued(now, &decided)
-	c.mutex.Unlock()
-	c.notify(decided)
+	c.locked(func(decided *[]*Ticket[T]) {
+		c.rate.set(now, limit)
+		c.trimQueue(now, decided)
+		c.admitQueued(now, decided)
+	})
 }
 
 // MinPriority returns the lowest priority that is admitted: the highest one that was refused because of load within the hold
--- a/hemlockadmission/rate.go
+++ b/hemlockadmission/rate.go
@@ -13,6 +13,8 @@
 	// rateQueueTime limits the queue under a rate limit to the requests that are admitted within it. A request that would
 	// wait longer is better sent to another target.
 	rateQueueTime = 250 * time.Millisecond
+	// maxRateQueue is the largest queue under a rate limit, which keeps the conversion of a huge limit within the range of int.
+	maxRateQueue = 1 << 30
 	// minAdmissionRate is the rate per second at which requests are admitted even under a lower limit, because the target can
 	// only revoke the limit in a response.
 	minAdmissionRate = 0.5
@@ -90,7 +92,7 @@
 		return 0, false
 	}
 	r.refill(now)
-	return int(r.tokens + r.perSecond()*rateQueueTime.Seconds()), true
+	return int(min(r.tokens+r.perSecond()*rateQueueTime.Seconds(), maxRateQueue)), true
 }
 
 // load returns the admitted and queued requests as a fraction of what the limit allows; 0 without a limit.
--- a/hemlockadmission/rate_test.go
+++ b/hemlockadmission/rate_test.go
@@ -1,6 +1,7 @@
 package hemlockadmission
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -195,3 +196,27 @@
 	}
 	wantAdmissions(t, l, 51, 51)
 }
+
+// Guards against a limit beyond the range of int, which made the queue limit negative and a call panic with the lock held.
+func TestRateLimitBeyondTheRangeOfInt(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, perSecond := range []float64{3.7e19, 1e300, math.MaxFloat64} {
+		r := rateLimiter{}
+		r.set(now, hemlockcall.RateLimit{Stated: true, PerSecond: perSecond})
+		if queued, limited := r.maxQueued(now.Add(time.Second)); !limited || queued < 1 || queued > math.MaxInt32 {
+			t.Errorf("queue limit %d under a rate limit of %v, want one within the range of int32", queued, perSecond)
+		}
+	}
+}
+
+// Guards against a call that panics and leaves the lock held, so that all later calls hang.
+func TestPanicReleasesTheLock(t *testing.T) {
+	c := New(1, func(*Ticket[int]) {})
+	c.classes = nil // makes Offer panic
+	if hemlockcall.RecoverPanic(func() { c.Offer(time.Now(), Attributes{Remaining: time.Second, Class: "c"}, 1) }) == nil {
+		t.Fatal("the offer did not panic")
+	}
+	if !c.mutex.TryLock() {
+		t.Error("the lock is held after a panic")
+	}
+}
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -103,11 +103,7 @@
 // queued calls are refused before execution if the target is not ready, or if a target that was ready has another
 // instance now.
 func (g *Gate) SetState(now time.Time, state TargetState) {
-	g.mutex.Lock()
-	old := g.state
-	g.state = state
-	g.resetStatements(now, state)
-	g.mutex.Unlock()
+	old := g.replaceState(now, state)
 	if old.Instance != state.Instance && old.Ready {
 		g.controller.SetSlots(now, 0) // a new process: the queued calls were meant for the previous one
 	}
@@ -118,6 +114,16 @@
 	g.controller.SetSlots(now, slots)
 }
 
+// replaceState sets the state and returns the previous one.
+func (g *Gate) replaceState(now time.Time, state TargetState) TargetState {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	old := g.state
+	g.state = state
+	g.resetStatements(now, state)
+	return old
+}
+
 // Snapshot returns the load at the target.
 func (g *Gate) Snapshot(now time.Time) hemlockadmission.Snapshot {
 	return g.controller.Snapshot(now)
--- a/hemlockrelay/statement.go
+++ b/hemlockrelay/statement.go
@@ -47,17 +47,15 @@
 // RecordStatement applies what the target has stated in a response. A statement of another instance than the current one is
 // ignored.
 func (g *Gate) RecordStatement(now time.Time, instance string, statement hemlockcall.TargetStatement) {
-	g.mutex.Lock()
-	report := g.statements.report
-	if instance != report.Instance {
-		g.mutex.Unlock()
-		return
-	}
-	if !statement.KeepsRateLimit {
-		report.RateLimit, g.statements.limitHeard = statement.RateLimit, true
-	}
-	report.Leaving = report.Leaving || statement.Leaving
-	g.applyReport(now, report, SourceTarget)
+	g.changeReport(now, SourceTarget, func(s *statements) {
+		if instance != s.report.Instance {
+			return
+		}
+		if !statement.KeepsRateLimit {
+			s.report.RateLimit, s.limitHeard = statement.RateLimit, true
+		}
+		s.report.Leaving = s.report.Leaving || statement.Leaving
+	})
 }
 
 // mergeReport applies what the entry of a call knows of the target's statements. A rate limit applies only until the target has
@@ -66,27 +64,30 @@
 	if !known.StatesAnything() {
 		return
 	}
-	g.mutex.Lock()
-	report := g.statements.report
-	if !known.IsAbout(report.Instance, report.StartTime) {
-		g.mutex.Unlock()
-		return
-	}
-	if !g.statements.limitHeard && known.RateLimit.Stated {
-		report.RateLimit = known.RateLimit
-	}
-	report.Leaving = report.Leaving || known.Leaving
-	g.applyReport(now, report, SourceEntry)
+	g.changeReport(now, SourceEntry, func(s *statements) {
+		if !known.IsAbout(s.report.Instance, s.report.StartTime) {
+			return
+		}
+		if !s.limitHeard && known.RateLimit.Stated {
+			s.report.RateLimit = known.RateLimit
+		}
+		s.report.Leaving = s.report.Leaving || known.Leaving
+	})
 }
 
-// applyReport is called with the lock held, and releases it.
-func (g *Gate) applyReport(now time.Time, report hemlockcall.TargetReport, source ReportSource) {
-	changed := report != g.statements.report
-	g.statements.report = report
-	if changed {
-		g.controller.SetRateLimit(now, report.RateLimit)
-	}
-	g.mutex.Unlock()
+// changeReport applies a change of the statements. If it changes the report, changeReport passes that on without the lock.
+func (g *Gate) changeReport(now time.Time, source ReportSource, change func(s *statements)) {
+	report, changed := func() (hemlockcall.TargetReport, bool) {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		previous := g.statements.report
+		change(&g.statements)
+		report := g.statements.report
+		if report != previous {
+			g.controller.SetRateLimit(now, report.RateLimit)
+		}
+		return report, report != previous
+	}()
 	if changed {
 		g.onReport(report, source)
 	}
