--- a/hemlockpeer/server.go
+++ b/hemlockpeer/server.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// CallsInFlight returns the number of calls of peers that are running or whose results are not queued yet.
+func (s *Server) CallsInFlight() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.inFlight
+}
+
 func (s *Server) addListener(listener net.Listener) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
