--- a/hemlockpeer/option.go
+++ b/hemlockpeer/option.go
@@ -25,6 +25,8 @@
 	// memory limits the bodies of the calls of Carry streams.
 	memory  *hemlockmemory.Budget
 	onPanic func(error)
+	// onAcceptFailure is called when a connection could not be accepted.
+	onAcceptFailure func(error)
 
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// maxConnections and maxControlMessages limit the concurrent calls and control messages to one peer.
@@ -40,9 +42,9 @@
 	s := settings{
 		scope:   tally.NoopScope,
 		memory:  hemlockmemory.NewBudget(defaultMemory),
-		onPanic: func(error) {},
-		linger:  defaultLinger,
-		dial:    (&net.Dialer{}).DialContext,
+		onPanic: func(error) {}, onAcceptFailure: func(error) {},
+		linger: defaultLinger,
+		dial:   (&net.Dialer{}).DialContext,
 		// The limit keeps one slow peer from using up the memory of the nodes that call it.
 		maxConnections:     64,
 		maxControlMessages: 4,
@@ -116,3 +118,8 @@
 func WithPoolTimeout(timeout time.Duration) Option {
 	return func(s *settings) { s.poolTimeout = timeout }
 }
+
+// WithAcceptFailureHandler sets a callback for connections that could not be accepted. It must not block.
+func WithAcceptFailureHandler(handler func(error)) Option {
+	return func(s *settings) { s.onAcceptFailure = handler }
+}
--- a/hemlockpeer/server.go
+++ b/hemlockpeer/server.go
@@ -80,7 +80,11 @@
 	}
 }
 
-// Serve accepts connections until the context ends or the server is shut down.
+// acceptRetryDelay is the wait after a failed accept, for example for a lack of file descriptors.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Serve accepts connections until the context ends, the server is shut down or the listener is closed. Other failures of an accept
+// are reported, and the accept is retried.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	if !s.addListener(listener) {
 		return hemlockerror.New("serve", KindClosed, "server was shut down")
@@ -94,7 +98,12 @@
 				s.serving.Wait()
 				return nil
 			}
-			return hemlockerror.Wrap("serve", KindConnection, err)
+			if errors.Is(err, net.ErrClosed) {
+				return hemlockerror.Wrap("serve", KindConnection, err)
+			}
+			s.settings.onAcceptFailure(err)
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		if s.addConnection(connection) {
 			go s.serveConnection(ctx, connection)
