Notice silent connections to the store within three seconds

Cause: after a change the long polls of all leaders begin at the same moment, wait 3 s and are given up 1 s later, so all leaders noticed it after 4.4 s.

Evidence: TestSilentConnectionsToTheStore failed before: in force 4.39 s after the silence on both hosts, want 3 s.

Change: a poll waits 1.2 to 2 s, at random, and is given up 0.9 s later. So each leader notices within 2.9 s, most earlier, and the others get the change from the first one. It costs each leader one call in 1.6 s instead of 3 s.

--- a/hemlockpolling/polling.go
+++ b/hemlockpolling/polling.go
@@ -21,10 +21,14 @@
 	leaderDuty = "configuration"
 	// leadersPerZone is more than 1 because a leader that failed or is cut off may remain undetected for seconds.
 	leadersPerZone = 2
-	// StorePollTimeout is how long the store waits for a change before it responds to the long poll of a leader. A leader
-	// detects a connection that became silent only after this time, so it must not exceed the time by which an unstable
-	// store may delay the distribution of a version.
-	StorePollTimeout = 3 * time.Second
+	// StorePollTimeout is the longest time that the store waits for a change before it responds to the long poll of a leader;
+	// see StorePollWait. A leader detects a connection that became silent only after this time and StorePollMargin, so that
+	// their sum must stay below the 3 s after which a node counts as undisturbed again.
+	StorePollTimeout = 2 * time.Second
+	// minStorePollWait is the shortest wait for a change.
+	minStorePollWait = 1200 * time.Millisecond
+	// StorePollMargin is how much later than the wait for a change a response of the store may arrive.
+	StorePollMargin = 900 * time.Millisecond
 	// PeerPollTimeout is how long a leader waits for a change before it responds to the long poll of a node. Together with
 	// PeerPollMargin it must not exceed the time in which a version must be active everywhere (2 s on the smallest
 	// deployments).
@@ -34,7 +38,7 @@
 	// maxConfirmationAge is the age of the last confirmation at which a node queries the store itself. With working
 	// leaders the age stays below it: a leader gets a response from the store every StorePollTimeout, and a node gets
 	// one from its leader every PeerPollTimeout.
-	maxConfirmationAge = StorePollTimeout + PeerPollTimeout + 2*PeerPollMargin
+	maxConfirmationAge = StorePollTimeout + 2*PeerPollTimeout + 2*PeerPollMargin
 	// maxPeerFailures is the number of consecutive failed polls of leaders after which a node queries the store
 	// immediately.
 	maxPeerFailures = 2
@@ -48,6 +52,13 @@
 	bootstrapWait = 3 * time.Second
 )
 
+// StorePollWait returns how long the store is to wait for a change in the next poll. After a change, the polls of all leaders
+// begin at the same moment; the random waits keep connections that fail then from being noticed by all of them at the same time.
+func StorePollWait(random func(n int) int) time.Duration {
+	steps := int((StorePollTimeout - minStorePollWait) / time.Millisecond)
+	return minStorePollWait + time.Duration(random(steps+1))*time.Millisecond
+}
+
 // Role is the part that a node has in the distribution of configurations.
 type Role struct {
 	// Leader means that the node polls the store.
