Refuse a call that its peer has not received completely as not run

Callers saw: an order whose body was sent in part when its peer became silent waited until its deadline and got an unknown outcome (by reading, review).

Cause: a call counted as sent as soon as its first part was. The peer starts a call only with the last part; the rest was dropped and nobody told the peer.

Evidence: TestRequestThatWasSentInPartHasNotRun did not end within 40 s before.

Change: the verdict depends on the last part of the request. While that is queued, the call cannot run: it is refused as not run, can go to another target, and the peer drops what it has. TestOrdersOverFaultyLinks holds.

--- a/hemlockpeer/relay_connection.go
+++ b/hemlockpeer/relay_connection.go
@@ -177,8 +177,8 @@
 	return true
 }
 
-// retire makes the connection accept no new calls. Pending calls that were not sent or are idempotent end immediately,
-// so that they can be retried elsewhere; the others may still get their response. It is called with the lock held.
+// retire makes the connection accept no new calls. Pending calls that were not sent completely or are idempotent end
+// immediately, so that they can be retried elsewhere; the others may still get their response. It is called with the lock held.
 func (c *relayConnection) retire(detail string) {
 	if c.retired {
 		return
@@ -186,6 +186,7 @@
 	c.retired = true
 	for number, call := range c.calls {
 		if c.queue.remove(number) {
+			c.cancelAtPeer(number) // a part of the body may have been sent
 			c.complete(number, callResult{err: hemlockcall.Refuse(hemlockcall.ReasonConnection, detail)})
 		} else if call.idempotent {
 			c.complete(number, callResult{err: hemlockcall.RefuseUnknown(hemlockcall.ReasonConnection, detail)})
@@ -244,7 +245,8 @@
 	c.removeCall(number)
 	reason := contextReason(ctx, hemlockcall.ReasonCancelled)
 	if c.queue.remove(number) {
-		return hemlockcall.Refuse(reason, "cancelled or deadline exceeded before the call was sent")
+		c.cancelAtPeer(number) // a part of the body may have been sent
+		return hemlockcall.Refuse(reason, "cancelled or deadline exceeded before the call was sent completely")
 	}
 	select {
 	case r := <-pending.result:
@@ -252,12 +254,17 @@
 			return r.err
 		}
 	default:
-		// A parcel without a body is only dropped when the stream has ended, which cancels the call at the peer too.
-		_ = c.queue.put(&hemlockwire.Parcel{Call: number, Cancel: true})
+		c.cancelAtPeer(number)
 	}
 	return hemlockcall.RefuseUnknown(reason, "cancelled or deadline exceeded while the call was in flight")
 }
 
+// cancelAtPeer makes the peer drop a call. A parcel without a body is only dropped when the stream has ended, which cancels the call
+// at the peer too.
+func (c *relayConnection) cancelAtPeer(number uint64) {
+	_ = c.queue.put(&hemlockwire.Parcel{Call: number, Cancel: true})
+}
+
 func (c *relayConnection) removeCall(number uint64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/hemlockpeer/send_queue.go
+++ b/hemlockpeer/send_queue.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// remove deletes the queued parcels of a call. It returns true if the request parcel was among them, so that nothing of
-// the call was sent, and false if that parcel was sent or is being sent.
+// remove deletes the queued parcels of a call. It returns true if the last parcel of the request was among them, so that the peer
+// cannot have started the call, and false if that parcel was sent or is being sent.
 func (q *sendQueue) remove(call uint64) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -93,7 +93,7 @@
 			continue
 		}
 		q.bytes -= len(p.Body)
-		found = found || p.Request != nil
+		found = found || !p.More && !p.Cancel
 	}
 	clear(q.parcels[len(kept):])
 	q.parcels = kept
--- a/hemlockpeer/slow_link_test.go
+++ b/hemlockpeer/slow_link_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,3 +142,36 @@
 	group.Wait()
 	return refused
 }
+
+// Guards against a call that waits until its deadline with an unknown outcome although its peer has not received the whole request
+// and so cannot have run it.
+func TestRequestThatWasSentInPartHasNotRun(t *testing.T) {
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	defer release()
+	var runs atomic.Int64
+	server := startRelayServer(t, func(context.Context, *hemlockcall.RelayRequest) (*hemlockcall.RelayResponse, error) {
+		runs.Add(1)
+		return &hemlockcall.RelayResponse{Status: 200}, nil
+	})
+	received := 0
+	stalled := faultyLink{toServer: func(n int) int {
+		if received += n; received > 256<<10 {
+			<-released
+		}
+		return n
+	}, toClient: func(n int) int { return n }}
+	client := NewRelayClient()
+	defer client.Close()
+	call := newRelayRequest(make([]byte, 30<<20)) // more than the buffers of the connections hold
+	call.Remaining, call.Idempotent = 20*time.Second, false
+	started := time.Now()
+	_, err := client.Relay(t.Context(), stalled.start(t, server), call)
+	wantRefusal(t, err, hemlockcall.VerdictNotRun, hemlockcall.ReasonConnection)
+	if took := time.Since(started); took > 3*brokenAfter {
+		t.Errorf("refused after %v, want soon after the peer became silent", took)
+	}
+	release()
+	time.Sleep(500 * time.Millisecond) // what the link holds arrives
+	equal(t, "runs of the refused call", runs.Load(), 0)
+}
