Count the bytes of a long message as a sign of life of its sender

Cause: a peer counted as alive when a whole message had arrived. A message has up to 256 KiB, and on a slow link, or beside a busy processor, takes longer than the 0.9 s after which its sender counts as silent.

Evidence: TestPeerThatSendsALongBodyIsNotSilent failed before: 'the peer did not respond to a probe' after 1.9 s.

Change: each arrival of bytes counts.

--- a/hemlockpeer/relay_client.go
+++ b/hemlockpeer/relay_client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcconn"
@@ -147,7 +149,8 @@
 	if err != nil {
 		return nil, hemlockerror.Wrap("connect", KindConnection, err)
 	}
-	connection := drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: drpcmanager.Options{
+	observed := &observedConn{Conn: transport}
+	connection := drpcconn.NewWithOptions(observed, drpcconn.Options{Manager: drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageSize},
 	}})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -161,6 +164,7 @@
 		cancel()
 		_ = transport.Close()
 	})
+	observed.relay.Store(created)
 	go func() {
 		if created.queue.run(stream, ctx.Done()) != nil {
 			created.closeStream()
@@ -179,6 +183,21 @@
 	return created, nil
 }
 
+// observedConn tells a relayConnection when bytes of the peer arrive.
+type observedConn struct {
+	net.Conn
+	relay atomic.Pointer[relayConnection]
+}
+
+// Read implements net.Conn.
+func (o *observedConn) Read(into []byte) (int, error) {
+	n, err := o.Conn.Read(into)
+	if relay := o.relay.Load(); relay != nil && n > 0 {
+		relay.markBytes()
+	}
+	return n, err
+}
+
 // Close closes the connections to all peers as CloseOthers does.
 func (c *RelayClient) Close() {
 	c.CloseOthers(nil)
--- a/hemlockpeer/relay_connection.go
+++ b/hemlockpeer/relay_connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockhollow/hemlockcall"
@@ -46,6 +47,10 @@
 	lastNumber uint64
 	// lastReceived is when a message of the peer last arrived, or when a call began while no other was pending.
 	lastReceived time.Time
+	// lastBytes is when bytes of the peer last arrived, as a time.Duration since openedAt. A long message takes a while to arrive, and
+	// its sender is not silent.
+	lastBytes atomic.Int64
+	openedAt  time.Time
 	// probeSent is set when a probe was sent after lastReceived.
 	probeSent bool
 	// retired is set when the connection accepts no new calls. Pending calls that are not idempotent may still get their
@@ -58,7 +63,12 @@
 
 func newRelayConnection(m *livenessMonitor, closeStream context.CancelFunc) *relayConnection {
 	return &relayConnection{queue: newSendQueue(), closeStream: closeStream, calls: map[uint64]*pendingCall{},
-		lastReceived: time.Now(), monitor: m}
+		lastReceived: time.Now(), openedAt: time.Now(), monitor: m}
+}
+
+// markBytes records that bytes of the peer have arrived.
+func (c *relayConnection) markBytes() {
+	c.lastBytes.Store(int64(time.Since(c.openedAt)))
 }
 
 // receive handles what the peer sends until the stream fails.
@@ -166,7 +176,7 @@
 		c.monitored = false
 		return false
 	}
-	silence := time.Since(c.lastReceived)
+	silence := min(time.Since(c.lastReceived), time.Since(c.openedAt)-time.Duration(c.lastBytes.Load()))
 	switch {
 	case silence >= brokenAfter && c.probeSent:
 		c.retire("the peer did not respond to a probe")
--- a/hemlockpeer/slow_link_test.go
+++ b/hemlockpeer/slow_link_test.go
@@ -143,6 +143,25 @@
 	return refused
 }
 
+// Guards against a peer that is declared silent, and loses running work, while it sends a long body over a slow link.
+func TestPeerThatSendsALongBodyIsNotSilent(t *testing.T) {
+	body := pattern(1, 512<<10)
+	server := startRelayServer(t, func(context.Context, *hemlockcall.RelayRequest) (*hemlockcall.RelayResponse, error) {
+		return &hemlockcall.RelayResponse{Status: 200, Body: body}, nil
+	})
+	slow := faultyLink{toServer: func(n int) int { return n }, toClient: func(n int) int {
+		time.Sleep(time.Duration(n) * 400 * time.Millisecond / (64 << 10)) // a message takes longer than brokenAfter
+		return n
+	}}
+	client := NewRelayClient()
+	defer client.Close()
+	call := newRelayRequest(nil)
+	call.Remaining = 20 * time.Second
+	response, err := client.Relay(t.Context(), slow.start(t, server), call)
+	noError(t, err)
+	equal(t, "the body is whole", string(response.Body) == string(body), true)
+}
+
 // Guards against a call that waits until its deadline with an unknown outcome although its peer has not received the whole request
 // and so cannot have run it.
 func TestRequestThatWasSentInPartHasNotRun(t *testing.T) {
