Make the test of idle connections fail without its mechanism

TestIdleConnectionsMakeRoomForOrders passed although idle connections were not closed: with a limit of one, its bound of two was never exceeded. It now opens as many idle connections as the limit allows, and counts those that are open during an order: 5 with the mechanism taken out, want at most 4; it passed ten times with it, under the race detector. Only the test changes.

--- a/hemlocktarget/verdict_test.go
+++ b/hemlocktarget/verdict_test.go
@@ -245,24 +245,39 @@
 
 // Guards against more connections than the target accepts: those that are idle count too.
 func TestIdleConnectionsMakeRoomForOrders(t *testing.T) {
-	var most atomic.Int64
-	var open atomic.Int64
-	target := startRawTarget(t, func(target *rawTarget, _ int, c net.Conn, r *bufio.Reader) {
-		most.Store(max(most.Load(), open.Add(1)))
-		defer open.Add(-1)
+	const limit = 4
+	var client *Client
+	var openDuringOrder atomic.Int64
+	var arrived sync.WaitGroup
+	arrived.Add(limit)
+	target := startRawTarget(t, func(target *rawTarget, n int, c net.Conn, r *bufio.Reader) {
 		for target.readRequest(r) {
+			if n < limit {
+				arrived.Done()
+				arrived.Wait() // so that each request has a connection of its own
+			} else {
+				openDuringOrder.Store(client.openConnections.Load())
+			}
 			_, _ = io.WriteString(c, okResponse)
 		}
 	})
-	client := startClient(t, target.address, WithMaxConnections(1))
-	for i := range 6 {
-		request := newRequest(http.MethodPost, "k", nil, 0)
-		request.AtMostOnce = i%2 == 1
-		_, err := invokeAndRead(t.Context(), client, request)
-		noError(t, err)
-		time.Sleep(20 * time.Millisecond) // the target sees the end of a connection
+	client = startClient(t, target.address, WithMaxConnections(limit))
+	var group sync.WaitGroup
+	for range limit {
+		group.Go(func() {
+			_, err := invokeAndRead(t.Context(), client, newRequest(http.MethodPost, "k", nil, 0))
+			if err != nil {
+				t.Error(err)
+			}
+		})
 	}
-	if most.Load() > 2 { // an idle connection is closed while the next one is opened
-		t.Errorf("%d connections at a time, want at most 2 for a limit of 1", most.Load())
+	group.Wait()
+	equal(t, "idle connections before the order", client.openConnections.Load(), limit)
+	order := newRequest(http.MethodPost, "order", nil, 0)
+	order.AtMostOnce = true
+	_, err := invokeAndRead(t.Context(), client, order)
+	noError(t, err)
+	if open := openDuringOrder.Load(); open < 1 || open > limit {
+		t.Errorf("%d connections are open during the order, want at most %d", open, limit)
 	}
 }
