Begin no call late in a stop whose deadline lies behind the end of the process

Callers saw: in a planned stop with a grace time of 10 s, as the large deployment has, orders whose head was complete 4.75 s after SIGTERM were passed on, and cut without an answer at 9.6 s while their target ran them (LOST).

Cause: until half of the grace time, an order was begun if its class usually ends in time. Usually is not enough: with a grace time of 6 s, what is cut by a slow target was sent in the first 3 s, which the users excuse; with 10 s it was sent up to 5 s after SIGTERM. The expected time also says nothing about a target that has just become slow.

Change: from 3 s after the start of a stop, work begins only if its deadline, with 100 ms for the delivery of the response, lies before the end of the process. hemlockdrain.Work states what is known of it. The entry asks before each attempt and hedge, the gate before it passes a call to its target; 'hemlockhollow node' does the same with the deadlines of its calls. There, whether a body was interrupted at the last begin is now asked of the drain itself.

TestMayBegin has the rule by itself.

--- a/hemlockdrain/drain.go
+++ b/hemlockdrain/drain.go
@@ -28,10 +28,10 @@
 	d.schedule.CompareAndSwap(nil, &s)
 }
 
-// MayBegin reports whether work that is expected to take the given time may begin. An expected time of 0 means unknown.
-func (d *Drain) MayBegin(now time.Time, expected time.Duration) bool {
+// MayBegin reports whether work may begin.
+func (d *Drain) MayBegin(now time.Time, work Work) bool {
 	s := d.schedule.Load()
-	return s == nil || s.MayBegin(now, expected)
+	return s == nil || s.MayBegin(now, work)
 }
 
 // Limit returns the remaining time of work, at most the time until the process ends.
@@ -48,6 +48,9 @@
 // Closed returns a channel that is closed by Close.
 func (d *Drain) Closed() <-chan struct{} { return d.open.Done() }
 
+// IsClosed reports whether Close was called.
+func (d *Drain) IsClosed() bool { return d.open.Err() != nil }
+
 // OnClose makes Close call a function in a goroutine of its own; if Close was called before, that happens now. The returned function
 // cancels this.
 func (d *Drain) OnClose(call func()) (cancel func() bool) {
--- a/hemlockdrain/drain_test.go
+++ b/hemlockdrain/drain_test.go
@@ -1,6 +1,7 @@
 package hemlockdrain
 
 import (
+	"cmp"
 	"testing"
 	"time"
 )
@@ -11,21 +12,28 @@
 
 // Guards against work that a stopping process begins too late to complete it.
 func TestMayBegin(t *testing.T) {
-	schedule := NewSchedule(at(0), 6*time.Second, WithMargin(400*time.Millisecond))
 	for name, c := range map[string]struct {
-		now      float64
-		expected time.Duration
-		want     bool
+		now   float64
+		grace time.Duration
+		work  Work
+		want  bool
 	}{
 		"at the start":                       {now: 0, want: true},
-		"before the last begin":              {now: 2.9, expected: 2 * time.Second, want: true},
+		"before the last begin":              {now: 2.9, work: Work{Expected: 2 * time.Second}, want: true},
 		"at the last begin":                  {now: 3, want: false},
 		"long after the last begin":          {now: 5, want: false},
-		"too long for the remaining time":    {now: 2, expected: 4 * time.Second, want: false},
-		"just short enough for what remains": {now: 2, expected: 3600 * time.Millisecond, want: true},
+		"too long for the remaining time":    {now: 2, work: Work{Expected: 4 * time.Second}, want: false},
+		"a deadline behind the end, early":   {now: 2.9, grace: 10 * time.Second, work: Work{Remaining: 8 * time.Second}, want: true},
+		"a deadline behind the end":          {now: 3.1, grace: 10 * time.Second, work: Work{Remaining: 6600 * time.Millisecond}},
+		"no deadline":                        {now: 3.1, grace: 10 * time.Second},
+		"a deadline at the end":              {now: 3.1, grace: 10 * time.Second, work: Work{Remaining: 6500 * time.Millisecond}},
+		"a deadline before the end":          {now: 3.1, grace: 10 * time.Second, work: Work{Remaining: 6400 * time.Millisecond}, want: true},
+		"after the last begin, with time":    {now: 5.1, grace: 10 * time.Second, work: Work{Remaining: time.Second}},
+		"just short enough for what remains": {now: 2, work: Work{Expected: 3600 * time.Millisecond}, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got := schedule.MayBegin(at(c.now), c.expected); got != c.want {
+			schedule := NewSchedule(at(0), cmp.Or(c.grace, 6*time.Second), WithMargin(400*time.Millisecond))
+			if got := schedule.MayBegin(at(c.now), c.work); got != c.want {
 				t.Errorf("may begin: %v, want %v", got, c.want)
 			}
 		})
@@ -53,12 +61,12 @@
 
 func TestDrain(t *testing.T) {
 	d := New()
-	if !d.MayBegin(at(100), time.Hour) {
+	if !d.MayBegin(at(100), Work{Expected: time.Hour}) {
 		t.Error("a process that is not stopping must begin all work")
 	}
 	d.Start(NewSchedule(at(0), 6*time.Second))
 	d.Start(NewSchedule(at(50), 6*time.Second))
-	if d.MayBegin(at(51), 0) {
+	if d.MayBegin(at(51), Work{}) {
 		t.Error("the first schedule must hold")
 	}
 	select {
--- a/hemlocknode/calls.go
+++ b/hemlocknode/calls.go
@@ -96,7 +96,7 @@
 	stopInterrupt := c.interruptAtLastBegin(request.Body)
 	body, err := readBody(request.Body, request.Length, p.rule.MaxRequestBody, c.bodyMemory)
 	stopInterrupt()
-	if err != nil && !c.drain.MayBegin(time.Now(), 0) {
+	if err != nil && c.drain.IsClosed() {
 		return nil, refuseStopping()
 	}
 	if err != nil {
--- a/hemlocknode/dispatch.go
+++ b/hemlocknode/dispatch.go
@@ -75,7 +75,7 @@
 		if refusal.Verdict == hemlockcall.VerdictUnknown {
 			unknown = refusal
 		}
-		if !d.mayRetry(ctx, call, refusal, previous) {
+		if !d.mayRetry(ctx, call, deadline, refusal, previous) {
 			if unknown != nil {
 				// An earlier attempt may have run, whatever the verdict of the last one.
 				refusal = unknown
@@ -96,7 +96,7 @@
 	if remaining <= 0 || ctx.Err() != nil {
 		return nil, finalRefusal(previous, refuseEnded(ctx, "before the call was sent"))
 	}
-	if !d.mayBegin(now, call.request) {
+	if !d.mayBegin(now, call.request, deadline) {
 		return nil, finalRefusal(previous, refuseStopping())
 	}
 	address, refusal := d.pickTarget(now, call)
@@ -119,8 +119,8 @@
 
 // mayBegin reports whether an attempt may begin with regard to the planned stop of this process. Nested calls belong to requests
 // that targets are running, which get the time until the end of the process.
-func (d *Dispatcher) mayBegin(now time.Time, request *hemlockcall.Request) bool {
-	return request.Context.Depth > 0 || d.drain.MayBegin(now, 0)
+func (d *Dispatcher) mayBegin(now time.Time, request *hemlockcall.Request, deadline time.Time) bool {
+	return request.Context.Depth > 0 || d.drain.MayBegin(now, hemlockdrain.Work{Remaining: deadline.Sub(now)})
 }
 
 // refuseStopping returns the refusal of a request that has not reached a target when a stopping node stops to begin requests.
@@ -274,8 +274,8 @@
 
 // mayRetry reports whether to make another attempt. Unless that is a free reroute, it spends a retry of the budget and waits
 // for a random backoff. A refusal that is the previous one means that no further attempt could be made.
-func (d *Dispatcher) mayRetry(ctx context.Context, call *callState, refusal, previous *hemlockcall.Refusal) bool {
-	if refusal == previous || len(call.tried) == 0 || ctx.Err() != nil || !d.mayBegin(time.Now(), call.request) ||
+func (d *Dispatcher) mayRetry(ctx context.Context, call *callState, deadline time.Time, refusal, previous *hemlockcall.Refusal) bool {
+	if refusal == previous || len(call.tried) == 0 || ctx.Err() != nil || !d.mayBegin(time.Now(), call.request, deadline) ||
 		!call.body.prepareReplay() {
 		return false
 	}
--- a/hemlocknode/serve.go
+++ b/hemlocknode/serve.go
@@ -86,13 +86,18 @@
 		return nil, s.refuseSuspect().WithFeedback(allUnused)
 	}
 	// The drain notice may have arrived, or the last begin of a stop been reached, while the request waited.
-	if s.health.isDraining() || !s.drain.MayBegin(now, 0) {
+	if s.health.isDraining() || !s.mayBegin(ctx, now, request) {
 		s.admission.Finish(now, admitted, hemlockadmission.Outcome{Result: hemlockadmission.Cancelled})
 		return nil, refuseLeaving().WithFeedback(allUnused)
 	}
 	return s.run(ctx, now, request, admitted)
 }
 
+// mayBegin reports whether a request may be passed to the target with regard to the planned stop of this process.
+func (s *Server) mayBegin(ctx context.Context, now time.Time, request *hemlockcall.Request) bool {
+	return s.drain.MayBegin(now, hemlockdrain.Work{Remaining: remainingTime(ctx, request.Context.Remaining)})
+}
+
 func refuseLeaving() *hemlockcall.Refusal {
 	return hemlockcall.Refuse(hemlockcall.ReasonLeaving, "the target is leaving")
 }
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -79,9 +79,9 @@
 	return e
 }
 
-// mayBegin reports whether an attempt of a class may begin with regard to the planned stop of this process.
-func (e *Entry) mayBegin(now time.Time, class string) bool {
-	return e.drain.MayBegin(now, e.latencies.upper(class))
+// mayBegin reports whether an attempt of a class with the given deadline may begin with regard to the planned stop of this process.
+func (e *Entry) mayBegin(now time.Time, class string, deadline time.Time) bool {
+	return e.drain.MayBegin(now, hemlockdrain.Work{Expected: e.latencies.upper(class), Remaining: deadline.Sub(now)})
 }
 
 // Relay executes a call within its remaining time. The call may reach no more than targetLimit targets; a limit below 1
@@ -183,7 +183,7 @@
 	a.entry.budget.RecordFirstAttempt(time.Now(), a.call.Service)
 	for {
 		now := time.Now()
-		if !a.entry.mayBegin(now, a.call.Class) {
+		if !a.entry.mayBegin(now, a.call.Class, a.deadline) {
 			return nil, a.finalRefusal(hemlockcall.Refuse(hemlockcall.ReasonLeaving, "the node is stopping"))
 		}
 		address, ok := a.nextAddress(now)
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -229,12 +229,23 @@
 	switch {
 	case ctx.Err() != nil:
 		return hemlockcall.Refuse(hemlockcall.ReasonCancelled, "cancelled while the call was queued")
-	case call.IsWithdrawn() || !g.drain.MayBegin(time.Now(), g.latencies.upper(call.Class)):
+	case call.IsWithdrawn() || !g.mayBegin(ctx, call.Class):
 		return refuseStopping(call)
 	}
 	return nil
 }
 
+// mayBegin reports whether a call of a class may be passed to the target with regard to the planned stop of this process. The context
+// ends at the deadline of the call.
+func (g *Gate) mayBegin(ctx context.Context, class string) bool {
+	now := time.Now()
+	work := hemlockdrain.Work{Expected: g.latencies.upper(class)}
+	if deadline, ok := ctx.Deadline(); ok {
+		work.Remaining = deadline.Sub(now)
+	}
+	return g.drain.MayBegin(now, work)
+}
+
 // refuseStopping returns the refusal of a call that is not passed to the target because its entry node or this process is stopping.
 func refuseStopping(call *hemlockcall.RelayRequest) *hemlockcall.Refusal {
 	if call.IsWithdrawn() {
--- a/hemlockrelay/hedge.go
+++ b/hemlockrelay/hedge.go
@@ -153,7 +153,7 @@
 // budget is spent, or if the process is about to end.
 func (a *attempts) pickHedgeTarget() (string, bool) {
 	now := time.Now()
-	if !a.entry.mayBegin(now, a.call.Class) || a.entry.monitor.ServiceLoad(now, a.call.Service) > maxHedgeLoad {
+	if !a.entry.mayBegin(now, a.call.Class, a.deadline) || a.entry.monitor.ServiceLoad(now, a.call.Service) > maxHedgeLoad {
 		return "", false
 	}
 	target, err := a.entry.selector.Pick(now, a.call.Service, a.tried)
