Withdraw the requests of a stopping node that wait at peers in the other front too

Callers saw: 'hemlockhollow node' with a stop timeout of 2 s: orders that waited in the queue of a peer's target since before the stop were run there after the half of the stop timeout, and their callers' connections were closed without a response at its end.

Cause: a node that calls a peer with streamed bodies could not take a call back without losing its outcome. The stop ended only what waited in the node itself.

Change: a message Withdraw between nodes with the ids of calls. The peer refuses those that it has not passed to its target as not run; the others keep their response. Nested calls are left out: the targets that make them still run. Peers of an older version do not know the message, and nothing changes for them.

Evidence: TestOrdersLateInAStopAreNotCut, case 'the queue of a peer's target'.

--- a/hemlockcall/request.go
+++ b/hemlockcall/request.go
@@ -28,6 +28,19 @@
 	// Fingerprint is equal for requests with the same content. It is used to recognise suspected poison requests, which
 	// were in flight when a target crashed, and the retries of callers.
 	Fingerprint uint64
+	// Withdrawn is closed once the entry node has withdrawn the request: it must no longer be passed to the target. A request that was
+	// passed on before stays in flight. Nil means that the request is never withdrawn. It is not sent on the wire.
+	Withdrawn <-chan struct{}
+}
+
+// IsWithdrawn reports whether the request must no longer be passed to a target.
+func (r *Request) IsWithdrawn() bool {
+	select {
+	case <-r.Withdrawn:
+		return true
+	default:
+		return false
+	}
 }
 
 // ServiceLoad is a load report: what a node knows about the load of one service over all of its targets.
--- a/hemlocknode/dispatch.go
+++ b/hemlocknode/dispatch.go
@@ -31,6 +31,8 @@
 type Peers interface {
 	// InvokerFor returns the invoker of the node at an address.
 	InvokerFor(address string) hemlockcall.Invoker
+	// Withdraw withdraws the requests of callers that other nodes have not passed to their targets.
+	Withdraw(ctx context.Context)
 }
 
 // Dispatcher is the calling side of the data path: it picks a target for each attempt of a call and enforces the retry
@@ -112,7 +114,11 @@
 		response, err = bufferResponse(response)
 	}
 	if err != nil {
-		return nil, d.handleRefusal(now, address, allocation, hemlockcall.AsRefusal(err))
+		refusal := d.handleRefusal(now, address, allocation, hemlockcall.AsRefusal(err))
+		if refusal.Verdict == hemlockcall.VerdictNotRun && refusal.Reason == hemlockcall.ReasonCancelled && ctx.Err() == nil {
+			return nil, refuseStopping() // this node has withdrawn the request
+		}
+		return nil, refusal
 	}
 	return d.handleResponse(now, call, address, allocation, response), nil
 }
--- a/hemlocknode/dispatch_test.go
+++ b/hemlocknode/dispatch_test.go
@@ -21,6 +21,8 @@
 
 func (s *scriptedPeers) InvokerFor(string) hemlockcall.Invoker { return s }
 
+func (s *scriptedPeers) Withdraw(context.Context) {}
+
 func (s *scriptedPeers) Invoke(_ context.Context, r *hemlockcall.Request) (*hemlockcall.Response, error) {
 	s.attempts++
 	return s.responses[s.attempts-1](r)
--- a/hemlocknode/late_in_stop_test.go
+++ b/hemlocknode/late_in_stop_test.go
@@ -31,6 +31,10 @@
 			eventually(t, "an order waits for a slot", func() bool { return n.server.admission.Snapshot(time.Now()).Queued > 0 })
 			return results
 		},
+		"the queue of a peer's target": func(t *testing.T, n *testNode) <-chan string {
+			defer n.stop()
+			return sendSlowly(t, n, 12, 0)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(t)
--- a/hemlocknode/serve.go
+++ b/hemlocknode/serve.go
@@ -86,9 +86,9 @@
 		return nil, s.refuseSuspect().WithFeedback(allUnused)
 	}
 	// The drain notice may have arrived, or the last begin of a stop been reached, while the request waited.
-	if s.health.isDraining() || !s.mayBegin(ctx, now, request) {
+	if s.health.isDraining() || request.IsWithdrawn() || !s.mayBegin(ctx, now, request) {
 		s.admission.Finish(now, admitted, hemlockadmission.Outcome{Result: hemlockadmission.Cancelled})
-		return nil, refuseLeaving().WithFeedback(allUnused)
+		return nil, refuseUnbegun(request).WithFeedback(allUnused)
 	}
 	return s.run(ctx, now, request, admitted)
 }
@@ -98,6 +98,14 @@
 	return s.drain.MayBegin(now, hemlockdrain.Work{Remaining: remainingTime(ctx, request.Context.Remaining)})
 }
 
+// refuseUnbegun returns the refusal of a request that is not passed to the target because its entry node or this process is stopping.
+func refuseUnbegun(request *hemlockcall.Request) *hemlockcall.Refusal {
+	if request.IsWithdrawn() {
+		return hemlockcall.RefuseWithdrawn()
+	}
+	return refuseLeaving()
+}
+
 func refuseLeaving() *hemlockcall.Refusal {
 	return hemlockcall.Refuse(hemlockcall.ReasonLeaving, "the target is leaving")
 }
@@ -138,6 +146,9 @@
 	if offered.Queued {
 		select {
 		case <-offered.Value.decided:
+		case <-request.Withdrawn:
+			s.admission.Cancel(time.Now(), offered)
+			<-offered.Value.decided
 		case <-s.drain.Closed():
 			s.admission.Cancel(time.Now(), offered)
 			<-offered.Value.decided
@@ -148,7 +159,7 @@
 	}
 	if refusal := offered.Refusal(); refusal != nil {
 		if refusal.Reason == hemlockcall.ReasonCancelled && ctx.Err() == nil {
-			refusal = refuseLeaving()
+			refusal = refuseUnbegun(request)
 		}
 		return nil, refusal
 	}
--- a/hemlocknode/shutdown.go
+++ b/hemlocknode/shutdown.go
@@ -23,6 +23,7 @@
 	n.drain.Start(schedule)
 	lastBegin := time.AfterFunc(time.Until(schedule.LastBegin()), n.drain.Close)
 	defer lastBegin.Stop()
+	defer n.drain.OnClose(func() { n.dispatcher.peers.Withdraw(ctx) })()
 	n.server.leaving.Store(true)
 	n.reporter.stopping.Store(true)
 	state := n.health.State()
--- a/hemlockpeer/call.go
+++ b/hemlockpeer/call.go
@@ -44,6 +44,7 @@
 		return nil, c.fail(err)
 	}
 	id := c.client.lastCallID.Add(1)
+	defer c.client.sent.add(id, c.address, request)()
 	c.stream, c.sendDone = stream, make(chan struct{})
 	c.reader = &frameReader{stream: stream, call: id, declaredLength: -1}
 	c.writer = &frameWriter{stream: stream, call: id}
--- a/hemlockpeer/client.go
+++ b/hemlockpeer/client.go
@@ -22,12 +22,13 @@
 	pool     *pool
 	// lastCallID is the id of the latest call. It starts at a random value, so that the ids of different clients differ.
 	lastCallID atomic.Uint64
+	sent       sentCalls
 }
 
 // NewClient returns a client without connections.
 func NewClient(options ...Option) *Client {
 	s := newSettings(options)
-	c := &Client{settings: s, pool: newPool(s)}
+	c := &Client{settings: s, pool: newPool(s), sent: sentCalls{addresses: map[uint64]string{}}}
 	c.lastCallID.Store(rand.Uint64())
 	return c
 }
--- a/hemlockpeer/server.go
+++ b/hemlockpeer/server.go
@@ -51,6 +51,7 @@
 	// refused counts the calls that were refused while draining.
 	refused uint64
 	serving sync.WaitGroup
+	calls   servedCalls
 }
 
 // NewServer returns a server that passes calls to the handler.
@@ -61,6 +62,7 @@
 		connections: make(map[net.Conn]struct{}),
 		listeners:   make(map[net.Listener]struct{}),
 		drained:     make(chan struct{}),
+		calls:       servedCalls{withdrawn: map[uint64]chan struct{}{}},
 	}
 	mux := drpcmux.New()
 	if err := hemlockwire.DRPCRegisterNode(mux, &service{server: s}); err != nil {
--- a/hemlockpeer/service.go
+++ b/hemlockpeer/service.go
@@ -109,6 +109,9 @@
 		return c.refuse(refusal.WithFeedback(hemlockcall.Feedback{UnusedRetries: request.Context.RetryBudget}))
 	}
 	defer c.server.endCall()
+	withdrawn, remove := c.server.calls.add(c.reader.call)
+	defer remove()
+	request.Withdrawn = withdrawn
 	if request.Context.Remaining <= 0 {
 		return c.refuse(hemlockcall.Refuse(hemlockcall.ReasonDeadline, "deadline exceeded on arrival"))
 	}
