--- a/hemlockrelay/target_tracker.go
+++ b/hemlockrelay/target_tracker.go
@@ -75,6 +75,9 @@
 	// FirstAnnouncement is a ready one, before which no other was applied. It may have been sent before the target announced
 	// to a previous process of this node that it leaves.
 	FirstAnnouncement
+	// OtherInstance is one of another process than the known one, which may still be running: the announcement may be that of another
+	// writer.
+	OtherInstance
 	// EarlierStart is one of a process that started before the known one, by its own clock. That clock may have been set back.
 	EarlierStart
 )
@@ -84,12 +87,16 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	switch {
-	case a.Deregistered:
+	case t.last.Instance == "" && (a.Leaving || a.Deregistered):
 		return NoDoubt
-	case t.last.Instance == "" && !a.Leaving:
+	case t.last.Instance == "":
 		return FirstAnnouncement
-	case a.StartTime != 0 && a.StartTime < t.last.StartTime:
+	case a.StartTime < t.last.StartTime && (a.StartTime == 0 || a.Deregistered):
+		return NoDoubt // Apply ignores it
+	case a.StartTime < t.last.StartTime:
 		return EarlierStart
+	case a.Instance != t.last.Instance:
+		return OtherInstance
 	}
 	return NoDoubt
 }
