Refuse a request after three crashes in all zones together

Cause: crash records stayed in the zone of the node that saw the crash.

Change: that node also sends its records to two members of each other zone, which disseminate them there, as far as its byte budget allows. Records of other zones count only together with the own ones, up to three crashes, and do not make a request run alone: requests are more often in flight by chance at the crashes of all zones. Records that are cleared by a completed request take the same way.

--- a/hemlockmember/gossip.go
+++ b/hemlockmember/gossip.go
@@ -115,9 +115,12 @@
 // Option changes a Gossip.
 type Option func(*Gossip)
 
-// WithCrashRecords makes the engine disseminate the crash records of a table within the zone.
+// WithCrashRecords makes the engine disseminate the crash records of a table, and tell the table which nodes are in the zone.
 func WithCrashRecords(table *hemlocksuspect.Table) Option {
-	return func(g *Gossip) { g.suspects = table }
+	return func(g *Gossip) {
+		g.suspects = table
+		table.SetLocalOrigins(g.inOwnZone)
+	}
 }
 
 // WithRate limits the bytes per second and per burst; the defaults are 7,000 and 28,000. Only synchronisation, additional
@@ -238,13 +241,14 @@
 	delete(g.received, address)
 }
 
-// DisseminateCrashRecords queues new crash records for the zone and returns the messages that may be sent now. Records that
-// the byte budget delays follow in later messages.
+// DisseminateCrashRecords queues new crash records of this node for the zone, sends them to the other zones, and returns the messages
+// that may be sent now. Records that the byte budget delays follow in later messages within the zone.
 func (g *Gossip) DisseminateCrashRecords(now time.Time, records []hemlocksuspect.Record) []Message {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.enqueueCrashRecords(records, "")
 	g.sendUpdates(now)
+	g.sendCrashRecordsToOtherZones(records)
 	return g.takeOutbox()
 }
 
--- a/hemlockmember/update.go
+++ b/hemlockmember/update.go
@@ -197,17 +197,40 @@
 	g.crashUpdates = nil
 }
 
-// receiveCrashRecords merges crash records from members of this node's zone and queues the new ones for the recipients.
+// remoteCopies is the number of members of each other zone that get the crash records of this node, because a message may be lost.
+const remoteCopies = 2
+
+// sendCrashRecordsToOtherZones sends the crash records of this node to members of each other zone, which disseminate them there, as far
+// as the budget allows. A request that crashes its targets would otherwise be allowed crashLimit crashes in each zone.
+func (g *Gossip) sendCrashRecordsToOtherZones(records []hemlocksuspect.Record) {
+	sameRegion, otherRegions := g.view.otherZones(g.self.Zone, g.self.Region)
+	zones := slices.Concat(sameRegion, otherRegions)
+	slices.Sort(zones)
+	for batch := range slices.Chunk(records, maxCrashRecordsPerMessage) {
+		for range remoteCopies {
+			for _, zone := range zones {
+				m := Message{To: g.view.randomMember(zone, g.random), Kind: Update, CrashRecords: batch}
+				if m.To != "" && g.budget.allows(m.Size()) {
+					g.send(m)
+				}
+			}
+		}
+	}
+}
+
+// receiveCrashRecords merges crash records, which members of other zones send in an Update only, and queues the new ones for the
+// recipients.
 // If the digest of an Ack still differs afterwards and the budget allows it, this node sends the sender of the Ack up to
 // maxCrashRecordsPerMessage of its own records.
 func (g *Gossip) receiveCrashRecords(now time.Time, from string, m Message) {
-	if g.suspects == nil || !g.inOwnZone(from) {
+	inOwnZone := g.inOwnZone(from)
+	if g.suspects == nil || !inOwnZone && m.Kind != Update {
 		return
 	}
 	if len(m.CrashRecords) > 0 {
 		g.enqueueCrashRecords(g.suspects.Merge(now, m.CrashRecords), from)
 	}
-	if m.Kind != Ack || len(m.Digests) == 0 || m.Digests[0] == g.suspects.Digest(now) || !g.budget.allows(syncReserve) {
+	if !inOwnZone || m.Kind != Ack || len(m.Digests) == 0 || m.Digests[0] == g.suspects.Digest(now) || !g.budget.allows(syncReserve) {
 		return
 	}
 	if records := g.suspects.Records(now, maxCrashRecordsPerMessage); len(records) > 0 {
--- a/hemlocksuspect/records.go
+++ b/hemlocksuspect/records.go
@@ -63,7 +63,8 @@
 	}
 	candidates := make([]candidate, 0, len(t.records))
 	for key, state := range t.records {
-		rank := min(t.activeCrashes(now, key.fingerprint), crashLimit)
+		_, crashes := t.activeCrashes(now, key.fingerprint)
+		rank := min(crashes, crashLimit)
 		if state.cleared || now.Sub(state.crashedAt) >= t.expiry {
 			rank = 0
 		}
--- a/hemlocksuspect/table.go
+++ b/hemlocksuspect/table.go
@@ -1,6 +1,6 @@
 // Package hemlocksuspect detects poison requests, which crash the targets that run them. It records the fingerprints of
 // the requests that were in flight when a target crashed. A request with such a fingerprint is a suspected poison request,
-// in short a suspect; after two crashes in the availability zone it is refused. The package does no I/O.
+// in short a suspect; after two crashes in the availability zone, or three anywhere, it is refused. The package does no I/O.
 package hemlocksuspect
 
 import (
@@ -22,8 +22,11 @@
 	// defaultMaxRecords limits the crash records. A crash adds one record for each slot in use, of which the largest
 	// target has 190, and one for each request that ended without a complete response shortly before.
 	defaultMaxRecords = 4096
-	// crashLimit is the number of crashes after which a request is refused.
+	// crashLimit is the number of crashes in the zone after which a request is refused.
 	crashLimit = 2
+	// fleetCrashLimit is the number of crashes in all zones after which a request is refused. It is higher than crashLimit, because
+	// more requests are in flight by chance at crashes in all zones.
+	fleetCrashLimit = 3
 )
 
 // Decision says whether a request may run.
@@ -71,11 +74,13 @@
 	cleared   bool
 }
 
-// Table contains the requests in flight at the local target and the crash records of the zone. It is safe for concurrent
+// Table contains the requests in flight at the local target and the crash records of all zones. It is safe for concurrent
 // use.
 type Table struct {
-	mutex      sync.Mutex
-	origin     string
+	mutex  sync.Mutex
+	origin string
+	// isLocal reports whether a node is in the zone of this one.
+	isLocal    func(origin string) bool
 	expiry     time.Duration
 	maxRecords int
 	// generation counts the crashes of the local target, so that a late call of Finished for a request to the crashed
@@ -135,7 +140,7 @@
 // New returns an empty table for the node with the given address.
 func New(origin string, options ...Option) *Table {
 	t := &Table{
-		origin: origin, expiry: defaultExpiry, maxRecords: defaultMaxRecords, inFlight: map[uint64]int{},
+		origin: origin, isLocal: func(string) bool { return true }, expiry: defaultExpiry, maxRecords: defaultMaxRecords, inFlight: map[uint64]int{},
 		incompleteAt: map[uint64]time.Time{}, records: map[recordKey]recordState{}, byRequest: map[uint64][]recordKey{},
 	}
 	for _, option := range options {
@@ -152,24 +157,33 @@
 	if t.recentlyCompleted(now, fingerprint) {
 		return Run
 	}
-	switch count := t.activeCrashes(now, fingerprint); {
-	case count >= crashLimit:
+	switch local, all := t.activeCrashes(now, fingerprint); {
+	case local >= crashLimit || all >= fleetCrashLimit:
 		return Refuse
-	case count > 0:
+	case local > 0:
 		return RunAlone
 	}
 	return Run
 }
 
-// activeCrashes returns the number of crashes of a request that are neither cleared nor expired.
-func (t *Table) activeCrashes(now time.Time, fingerprint uint64) int {
-	count := 0
+// activeCrashes returns the numbers of crashes of a request, in the zone and in all zones, that are neither cleared nor expired.
+func (t *Table) activeCrashes(now time.Time, fingerprint uint64) (local, all int) {
 	for _, key := range t.byRequest[fingerprint] {
-		if state := t.records[key]; !state.cleared && now.Sub(state.crashedAt) < t.expiry {
-			count++
+		if state := t.records[key]; state.cleared || now.Sub(state.crashedAt) >= t.expiry {
+			continue
+		}
+		all++
+		if t.isLocal(key.origin) {
+			local++
 		}
 	}
-	return count
+	return local, all
+}
+
+// SetLocalOrigins sets how to tell nodes of this zone from others; by default, all nodes count as being in this zone. The function is called
+// with the lock of the table held. SetLocalOrigins must be called before the table is used.
+func (t *Table) SetLocalOrigins(isLocal func(origin string) bool) {
+	t.isLocal = isLocal
 }
 
 // Started records that a request is about to be sent to the local target and counts as in flight from now on. The caller
@@ -183,7 +197,7 @@
 
 // Finished records that a request is no longer in flight; completed means that the target returned a complete response. A
 // request that ended otherwise still counts as in flight for 3 s. If a suspect with a single crash completes, its record
-// is cleared, and Finished returns it for the other nodes of the zone; with WithRecentCompletions, so are the records of several
+// is cleared, and Finished returns it for the other nodes; with WithRecentCompletions, so are the records of several
 // crashes. Finished has no effect if the target has crashed since Started.
 func (t *Table) Finished(now time.Time, e Execution, completed bool) []Record {
 	t.mutex.Lock()
@@ -203,7 +217,7 @@
 		t.completedAt.Add(e.fingerprint, now)
 	}
 	// Without WithRecentCompletions, a request that completes is only a proof against a single crash.
-	if crashes := t.activeCrashes(now, e.fingerprint); crashes == 0 || crashes > 1 && t.completedAt == nil {
+	if _, crashes := t.activeCrashes(now, e.fingerprint); crashes == 0 || crashes > 1 && t.completedAt == nil {
 		return nil
 	}
 	var cleared []Record
