State how a process of a proof or the demo has ended

The output of the processes, which a failed proof and the demo print, now has the exit status or signal of each one that has ended.

--- a/standin/harness/process.go
+++ b/standin/harness/process.go
@@ -98,9 +98,19 @@
 	return p.output.String()
 }
 
-// WriteOutput writes what the process has printed, under a line with its name.
+// WriteOutput writes what the process has printed, under a line with its name and, if it has ended, how.
 func (p *Process) WriteOutput(w io.Writer) {
-	_, _ = io.WriteString(w, "--- "+p.Name+"\n"+p.Output())
+	_, _ = io.WriteString(w, "--- "+p.Name+" ("+p.state()+")\n"+p.Output())
+}
+
+// state describes whether and how the process has ended.
+func (p *Process) state() string {
+	select {
+	case <-p.done:
+		return "ended: " + p.command.ProcessState.String()
+	default:
+		return "running"
+	}
 }
 
 // StartLoad starts the load client, a program in the folder, with the arguments.
