--- a/hemlockcall/relay.go
+++ b/hemlockcall/relay.go
@@ -36,8 +36,6 @@
 	Priority Priority
 	// Class is the name of the route; the service time of a call depends on it.
 	Class string
-	// Depth is the number of calls upstream of this one in the call chain; 0 if it is unknown, and at most MaxDepth.
-	Depth uint8
 	// Idempotent means that the call may run more than once.
 	Idempotent bool
 	// Fingerprint is equal for calls with the same content from the same service.
--- a/hemlockpeer/parcel.go
+++ b/hemlockpeer/parcel.go
@@ -23,7 +23,7 @@
 		Id: []byte(call.ID), Service: call.Service, Origin: call.CallingService, Method: []byte(call.Method),
 		Host: []byte(call.Host), Path: []byte(call.Path),
 		Header: []byte(call.Header), RemainingMicroseconds: microseconds(call.Remaining),
-		Priority: uint32(call.Priority), Class: call.Class, Depth: uint32(call.Depth), Repeatable: call.Idempotent,
+		Priority: uint32(call.Priority), Class: call.Class, Repeatable: call.Idempotent,
 		Fingerprint: call.Fingerprint, ObjectiveMicroseconds: microseconds(call.LatencyObjective),
 		Target: encodeTargetReport(call.TargetReport),
 	}
@@ -36,7 +36,6 @@
 		Remaining:        fromMicroseconds(wire.GetRemainingMicroseconds()),
 		Priority:         hemlockcall.Priority(min(wire.GetPriority(), uint32(hemlockcall.Critical))),
 		Class:            wire.GetClass(),
-		Depth:            uint8(min(wire.GetDepth(), hemlockcall.MaxDepth)),
 		Idempotent:       wire.GetRepeatable(),
 		Fingerprint:      wire.GetFingerprint(),
 		LatencyObjective: fromMicroseconds(wire.GetObjectiveMicroseconds()),
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -188,7 +188,7 @@
 		return nil, hemlockcall.Refuse(hemlockcall.ReasonSuspect, "the request was in flight when targets crashed")
 	}
 	ticket := g.controller.Offer(now, hemlockadmission.Attributes{
-		Priority: call.Priority, Depth: call.Depth, Remaining: call.Remaining, Class: call.Class,
+		Priority: call.Priority, Remaining: call.Remaining, Class: call.Class,
 		LatencyObjective: call.LatencyObjective,
 		Suspect:          decision == hemlocksuspect.RunAlone,
 	}, &waiter{decided: make(chan struct{})})
