Enforce the wait between two changes of a claim retention

Claims are deleted after twice the retention, so the retention may change by a factor of two at a time, and the error message tells operators to wait twice the old retention between two changes. Nothing enforced that: 24h, 48h and 96h published in a minute were accepted, and so was any value after the service was removed and added again.

Change: a configuration holds, for each service whose claim retention has changed, the previous value and the time, until the wait has ended. A publish in between that changes it again is refused with the time from which on it may; taking the change back is allowed. A removal counts as a change. Merged configurations keep the later one. The field is left out where there is none, so programs that do not know it read all other configurations.

Evidence: TestClaimRetentionIsNotChangedAgainBeforeTheWaitEnds.

--- a/hemlockconfiguration/configuration.go
+++ b/hemlockconfiguration/configuration.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"hemlockhollow/hemlockservice"
 )
@@ -29,6 +30,9 @@
 	// nonces are those of the latest maxNonces versions, oldest first; the last one belongs to Version. A version has several if the
 	// store lost the first publish that wrote it, and both were merged later.
 	nonces []versionNonce
+	// retentionChanges are the last changes of claim retentions, by service, whose wait had not ended at the last publish; nil if there
+	// are none.
+	retentionChanges map[string]retentionChange
 }
 
 // versionNonce is a version with the nonce, a unique random string, of the publish that wrote it.
@@ -54,13 +58,14 @@
 }
 
 // next returns the next version: this configuration with the changes applied, by service name. A nil service is
-// removed.
-func (c Configuration) next(changes map[string]*hemlockservice.Service, nonce string) Configuration {
+// removed. now dates the changes of claim retentions.
+func (c Configuration) next(now time.Time, changes map[string]*hemlockservice.Service, nonce string) Configuration {
 	n := Configuration{
-		Version:     c.Version + 1,
-		Services:    maps.Clone(c.Services),
-		lastChanged: maps.Clone(c.lastChanged),
-		nonces:      append(slices.Clone(c.nonces), versionNonce{Version: c.Version + 1, Nonce: nonce}),
+		Version:          c.Version + 1,
+		Services:         maps.Clone(c.Services),
+		lastChanged:      maps.Clone(c.lastChanged),
+		retentionChanges: c.retentionChangesWith(now, changes),
+		nonces:           append(slices.Clone(c.nonces), versionNonce{Version: c.Version + 1, Nonce: nonce}),
 	}
 	if n.Services == nil {
 		n.Services = map[string]hemlockservice.Service{}
--- a/hemlockconfiguration/encoding.go
+++ b/hemlockconfiguration/encoding.go
@@ -43,6 +43,8 @@
 	Services map[string]hemlockservice.Service `json:"services"`
 	Changed  map[string]uint64                 `json:"changed"`
 	Nonces   []versionNonce                    `json:"nonces"`
+	// RetentionChanges is left out if there are none, so that programs that do not know it read the others.
+	RetentionChanges map[string]retentionChange `json:"retention-changes,omitempty"`
 }
 
 func digestOf(canonical []byte) string {
@@ -53,7 +55,8 @@
 // canonicalJSON returns the JSON that the digest covers. Its map keys are sorted, so equal configurations give equal
 // bytes.
 func (c Configuration) canonicalJSON() []byte {
-	text, err := json.Marshal(content{Version: c.Version, Services: c.Services, Changed: c.lastChanged, Nonces: c.nonces})
+	text, err := json.Marshal(content{Version: c.Version, Services: c.Services, Changed: c.lastChanged, Nonces: c.nonces,
+		RetentionChanges: c.retentionChanges})
 	if err != nil {
 		panic(errors.Wrap(err, "encode configuration")) // every value of these types can be encoded
 	}
@@ -110,6 +113,8 @@
 		Services:    decoded.Services,
 		lastChanged: decoded.Changed,
 		nonces:      decoded.Nonces,
+
+		retentionChanges: decoded.RetentionChanges,
 	}
 	if err := c.validate(); err != nil {
 		return Configuration{}, err
--- a/hemlockconfiguration/encoding_test.go
+++ b/hemlockconfiguration/encoding_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -24,7 +25,7 @@
 		if i%7 == 6 {
 			change = nil
 		}
-		c = c.next(map[string]*hemlockservice.Service{name: change}, "n"+strings.Repeat("x", i%3))
+		c = c.next(time.Now(), map[string]*hemlockservice.Service{name: change}, "n"+strings.Repeat("x", i%3))
 	}
 	return c
 }
--- a/hemlockconfiguration/lineage.go
+++ b/hemlockconfiguration/lineage.go
@@ -1,7 +1,9 @@
 package hemlockconfiguration
 
 import (
+	"maps"
 	"slices"
+	"time"
 
 	"hemlockhollow/hemlockservice"
 )
@@ -54,7 +56,7 @@
 // merge returns a configuration with the changes of both, of which neither includes the other. Of two changes of one service, the one
 // in c stays. The version is above those of both, and both count as changes of it: a publish that is based on one of them conflicts
 // with the changes of the other instead of reverting them.
-func (c Configuration) merge(other Configuration, nonce string) Configuration {
+func (c Configuration) merge(now time.Time, other Configuration, nonce string) Configuration {
 	common := c.commonVersion(other)
 	changes := map[string]*hemlockservice.Service{}
 	for name, version := range other.lastChanged {
@@ -76,7 +78,16 @@
 		}
 	}
 	slices.SortStableFunc(merged.nonces, func(a, b versionNonce) int { return int(a.Version) - int(b.Version) })
-	return merged.next(changes, nonce)
+	merged.retentionChanges = maps.Clone(other.retentionChanges)
+	for name, r := range c.retentionChanges {
+		if merged.retentionChanges == nil {
+			merged.retentionChanges = map[string]retentionChange{}
+		}
+		if r.UnixSeconds >= merged.retentionChanges[name].UnixSeconds {
+			merged.retentionChanges[name] = r
+		}
+	}
+	return merged.next(now, changes, nonce)
 }
 
 func (c Configuration) serviceOrNil(name string) *hemlockservice.Service {
--- a/hemlockconfiguration/publisher.go
+++ b/hemlockconfiguration/publisher.go
@@ -21,6 +21,7 @@
 	maxAttempts int
 	nonce       func() string // generates the nonce of a publish
 	backoff     func(ctx context.Context, attempt int) error
+	now         func() time.Time
 }
 
 // Option configures a Publisher.
@@ -43,9 +44,14 @@
 	return func(p *Publisher) { p.backoff = wait }
 }
 
+// WithClock sets the wall clock by which changes of claim retentions are dated.
+func WithClock(now func() time.Time) Option {
+	return func(p *Publisher) { p.now = now }
+}
+
 // NewPublisher returns a publisher to the store.
 func NewPublisher(store Store, options ...Option) *Publisher {
-	p := &Publisher{store: store, maxAttempts: 8, nonce: uuid.NewString, backoff: waitBackoff}
+	p := &Publisher{store: store, maxAttempts: 8, nonce: uuid.NewString, backoff: waitBackoff, now: time.Now}
 	for _, o := range options {
 		o(p)
 	}
@@ -107,7 +113,7 @@
 		if len(unapplied) == 0 {
 			return Result{StartVersion: result.StartVersion, Version: r.current.Version, Unchanged: true}, nil
 		}
-		next := r.current.next(unapplied, r.nonce)
+		next := r.current.next(r.now(), unapplied, r.nonce)
 		if err := next.validate(); err != nil {
 			return result, hemlockerror.Wrap(publishOperation, KindInvalid, err)
 		}
@@ -201,33 +207,6 @@
 	return nil
 }
 
-// maxRetentionFactor limits the factor by which one publish may change the claim retention of a service. Claims of
-// idempotency keys are deleted after twice the retention; with a larger factor a key whose claim has been deleted
-// would be accepted again, and its request could run twice.
-const maxRetentionFactor = 2
-
-// checkClaimRetentions returns an error that names the services whose claim retention changes by more than
-// maxRetentionFactor.
-func (r *publishRun) checkClaimRetentions() error {
-	var problems hemlockservice.Problems
-	for _, c := range r.parsed {
-		published, known := r.current.Services[c.name]
-		if !known || c.service == nil {
-			continue
-		}
-		from, to := published.ClaimRetention, c.service.ClaimRetention
-		if to > maxRetentionFactor*from || from > maxRetentionFactor*to {
-			problems = append(problems, hemlockservice.Problem{File: c.source.Source, Line: 1, Column: 1, Message: fmt.Sprintf(
-				"claim-retention of service %q changes from %s to %s; change it by a factor of at most %d at a time, and "+
-					"wait twice the old retention between two changes", c.name, from, to, maxRetentionFactor)})
-		}
-	}
-	if len(problems) > 0 {
-		return hemlockerror.Wrap(publishOperation, KindInvalid, problems)
-	}
-	return nil
-}
-
 // isApplied reports whether the current configuration already contains the change.
 func (r *publishRun) isApplied(c parsedChange) bool {
 	s, ok := r.current.Services[c.name]
--- a/hemlockconfiguration/publisher_test.go
+++ b/hemlockconfiguration/publisher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -251,11 +252,9 @@
 	assertKind(t, err, KindInvalid)
 }
 
-// Guards against a change of the claim retention after which an idempotency key whose claim has been deleted would be
-// accepted again.
-func TestClaimRetentionChangeIsLimited(t *testing.T) {
-	file := func(retention string) Change {
-		return Change{Source: "a.hcl", Text: []byte(`service "a" {
+// retentionFile is a change of service a to a claim retention.
+func retentionFile(retention string) Change {
+	return Change{Source: "a.hcl", Text: []byte(`service "a" {
   slots           = 10
   connections     = 100
   claim-retention = "` + retention + `"
@@ -269,13 +268,50 @@
     timeout  = "1s"
   }
 }`)}
-	}
+}
+
+// Guards against a change of the claim retention after which an idempotency key whose claim has been deleted would be
+// accepted again.
+func TestClaimRetentionChangeIsLimited(t *testing.T) {
 	store := newDirectStore()
 	for _, step := range []struct {
 		retention string
 		kind      Kind
 	}{{"24h", ""}, {"49h", KindInvalid}, {"48h", ""}, {"23h", KindInvalid}, {"24h", ""}} {
-		_, err := publish(t, store, file(step.retention))
+		_, err := publish(t, store, retentionFile(step.retention))
 		assertKind(t, err, step.kind)
 	}
 }
+
+// Guards against the same by several changes in quick succession, also around a removal of the service and a merge of configurations.
+func TestClaimRetentionIsNotChangedAgainBeforeTheWaitEnds(t *testing.T) {
+	store, now := newDirectStore(), time.Unix(1_800_000_000, 0)
+	publishAt := func(after time.Duration, change Change) error {
+		_, err := NewPublisher(store, WithBackoff(func(context.Context, int) error { return nil }),
+			WithClock(func() time.Time { return now.Add(after) })).Publish(context.Background(), []Change{change})
+		return err
+	}
+	removal := Removal("a", 0)
+	for i, step := range []struct {
+		after  time.Duration
+		change Change
+		kind   Kind
+	}{
+		{0, retentionFile("24h"), ""},
+		{time.Hour, retentionFile("48h"), ""},
+		{2 * time.Hour, retentionFile("96h"), KindInvalid}, // the wait is twice 24 h
+		{3 * time.Hour, serviceFile("b", 5), ""},           // another service keeps the date of the change
+		{48 * time.Hour, retentionFile("96h"), KindInvalid},
+		{49 * time.Hour, retentionFile("96h"), ""},
+		{50 * time.Hour, retentionFile("48h"), ""}, // taken back
+		{51 * time.Hour, retentionFile("24h"), KindInvalid},
+		{52 * time.Hour, removal, ""},
+		{53 * time.Hour, retentionFile("12h"), KindInvalid}, // the wait is twice 48 h
+		{54 * time.Hour, retentionFile("48h"), ""},
+		{300 * time.Hour, retentionFile("24h"), ""},
+	} {
+		if err := publishAt(step.after, step.change); hemlockerror.KindOf[Kind](err) != step.kind {
+			t.Fatalf("step %d: error %v, want kind %q", i, err, step.kind)
+		}
+	}
+}
--- a/hemlockconfiguration/restore.go
+++ b/hemlockconfiguration/restore.go
@@ -31,7 +31,7 @@
 			if r.current.Includes(own) {
 				return r.current, nil
 			}
-			next = r.current.merge(own, p.nonce())
+			next = r.current.merge(p.now(), own, p.nonce())
 			if err := next.validate(); err != nil {
 				return Configuration{}, hemlockerror.Wrap(publishOperation, KindInvalid, err)
 			}
--- a/hemlockconfiguration/scale_test.go
+++ b/hemlockconfiguration/scale_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"hemlockhollow/hemlockservice"
 )
@@ -37,7 +38,7 @@
 		}
 		changes[name] = &service
 	}
-	return Configuration{}.next(changes, "nonce")
+	return Configuration{}.next(time.Now(), changes, "nonce")
 }
 
 // BenchmarkConfiguration measures the compressed size, the time to decode, which every node spends on every version,
