Let the throttle follow the observed load only while no call trees arrive

Callers would see: call trees of a class that fails, because a service cannot be reached, are admitted at nodes where a few arrive each second.

Change: the observed load changes the fraction of a kind only once no call tree of it has arrived for 300 ms.

Evidence: TestObservedLoadDoesNotHideFailingCallTrees.

--- a/hemlockbackpressure/throttle.go
+++ b/hemlockbackpressure/throttle.go
@@ -37,6 +37,15 @@
 // take tens of seconds to react to a burst.
 const maxCatchUpSteps = 3
 
+const (
+	// promptAge is the age up to which a load is as good as a current one.
+	promptAge = 100 * time.Millisecond
+	// delayTime is the delay beyond promptAge at which the throttle reacts half as fast.
+	delayTime = 200 * time.Millisecond
+	// sparseInterval is the time without a call tree of a kind from which the fraction follows the observed load.
+	sparseInterval = 300 * time.Millisecond
+)
+
 // Throttle admits a fraction of the new call trees of each kind. It is safe for concurrent use.
 type Throttle struct {
 	mutex     sync.Mutex
@@ -57,6 +66,7 @@
 	fraction  float64
 	credit    float64 // grows by fraction with each call tree, up to 1; each admitted one takes 1
 	updatedAt time.Time
+	lastTree  time.Time // arrival of the last call tree
 }
 
 // NewThrottle returns a throttle that admits all call trees at first.
@@ -75,6 +85,7 @@
 	defer t.mutex.Unlock()
 	f := t.fractionOf(priority, firstService)
 	f.update(now, load, setpoints[priority])
+	f.lastTree = now
 	if f.fraction >= 1 {
 		return true
 	}
@@ -86,9 +97,10 @@
 	return true
 }
 
-// Observe changes the admitted fractions of all kinds by the load that applies to call trees with the given first service. An entry node
-// that starts a call tree of a kind only every few seconds calls it several times a second, so that the fraction follows the load
-// between the call trees.
+// Observe changes the admitted fractions by the load that applies to call trees with the given first service, for kinds of which no call
+// tree has arrived for sparseInterval. An entry node of a large deployment, which starts a call tree of a kind every few seconds, calls it
+// several times a second, so that the fraction follows the load in between. While call trees arrive often, Admit decides alone, because
+// it also knows the failures of their class. loadOf is called with the lock held.
 func (t *Throttle) Observe(now time.Time, loadOf func(firstService string) Load) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -96,6 +108,9 @@
 		t.unseen[p].update(now, loadOf(""), setpoints[p])
 	}
 	for kind, f := range t.fractions {
+		if now.Sub(f.lastTree) < sparseInterval {
+			continue
+		}
 		f.update(now, loadOf(kind.firstService), setpoints[kind.priority])
 	}
 }
@@ -143,13 +158,6 @@
 	f.fraction = min(max(f.fraction*math.Pow(factor, steps*gainAt(current.Age)), minAdmittedFraction), 1)
 }
 
-const (
-	// promptAge is the age up to which a load is as good as a current one.
-	promptAge = 100 * time.Millisecond
-	// delayTime is the delay beyond promptAge at which the throttle reacts half as fast.
-	delayTime = 200 * time.Millisecond
-)
-
 // gainAt returns how fast the throttle reacts to a load of the given age, as a fraction of its reaction to a current one. With a delay,
 // a fast reaction to what has changed already makes the load oscillate.
 func gainAt(age time.Duration) float64 {
--- a/hemlockbackpressure/throttle_test.go
+++ b/hemlockbackpressure/throttle_test.go
@@ -94,6 +94,27 @@
 	}
 }
 
+// Guards against call trees of a failing class that are admitted because the load alone, which does not show the failures, is low.
+func TestObservedLoadDoesNotHideFailingCallTrees(t *testing.T) {
+	throttle, now := NewThrottle(), time.Unix(1000, 0)
+	low := func(string) Load { return Load{Value: 0.2} }
+	admitted := 0
+	for range 100 {
+		now = now.Add(160 * time.Millisecond)
+		if throttle.Admit(now, hemlockcall.Sheddable, "s", Load{Value: unreachableLoad, Cause: "failing call trees"}) {
+			admitted++
+		}
+		throttle.Observe(now.Add(110*time.Millisecond), low)
+	}
+	if admitted > 20 {
+		t.Errorf("%d of 100 call trees of a failing class admitted, want at most 20", admitted)
+	}
+	throttle.Observe(now.Add(2*sparseInterval), low)
+	if before, after := minAdmittedFraction, throttle.AdmittedFraction(hemlockcall.Sheddable, "s"); after <= before {
+		t.Errorf("admitted fraction %.2f after a time without call trees at a low load, want more than %.2f", after, before)
+	}
+}
+
 func TestLoadMonitor(t *testing.T) {
 	start := time.Unix(1000, 0)
 	t.Run("ignores expired reports", func(t *testing.T) {
