Tell a reset during an upload from the end of a response

Callers saw: a part of a response as the whole one, when a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. In the store's client, such a response confirmed a write.

Cause: the kernel reports a reset once. If the concurrent write of the request got it, the read saw the plain end of the connection, which is the end of a body without a length.

A read at the end of the connection waits for a write in progress, at most 200 ms, then interrupts it, and returns the error of a write that failed in place of the end. The result does not depend on the wait: a write that got the reset has already returned from the kernel. A target that has ended its response and reads on gets the rest of the request within the wait.

Ruled out: judging by the response alone (it is the same); waiting without an interruption (a target that reads slowly would hold up a whole response); refusing responses without a length (the platform allows them).

Remains: the other front refuses responses without a length, as before.

--- a/hemlocknet/conn.go
+++ b/hemlocknet/conn.go
@@ -1,6 +1,6 @@
 // Package hemlocknet wraps network connections. Conn reports whether a write has started since an earlier moment,
 // which decides whether a failed request can be refused with the verdict not-run. LimitedReader limits how many bytes
-// a peer may send.
+// a peer may send. ResetConn tells a reset from a plain end.
 package hemlocknet
 
 import (
--- a/hemlocktarget/client.go
+++ b/hemlocktarget/client.go
@@ -105,7 +105,7 @@
 		return nil, err
 	}
 	c.openConnections.Add(1)
-	return hemlocknet.NewConn(&countedConnection{Conn: connection, open: &c.openConnections}), nil
+	return hemlocknet.NewConn(hemlocknet.NewResetConn(&countedConnection{Conn: connection, open: &c.openConnections})), nil
 }
 
 // countedConnection decreases a count when it is closed.
