Check the lines of a response before a parser repairs them

Callers saw: a 200 with a header line whose name has a blank, as the target in trouble had sent it. Where that name was nearly the one of a framing field, the body was not the target's: with "Transfer Encoding: chunked" it held the lines of the chunks, and "Transfer-Encoding : chunked" or "Content-Length : 1" beside another framing field was overlooked. Both fronts, interim heads, trailers, late responses, health checks and the store's client did the same.

Cause: the parser of the library lets blanks in names through on purpose, joins folded lines, and accepts a line feed alone as the end of a line. Each reader had its own checks behind it, or none.

Change: hemlockresponse.Conn follows the bytes of a connection (heads, lengths, chunks, trailers) before the parser sees them, and fails the read at the first line that RFC 9110 and 9112 do not allow. The reader gets a head only once the whole head has been checked. What fails there is no response: the outcome is unknown and the connection is closed. The bytes of sound responses are passed on unchanged.

What may be repaired (an identical second Content-Length, a missing blank behind the status) passes. RFC 9112 asks proxies to remove a blank before a colon and allows to join folded lines; both are refused, since a recipient that does not repair them finds another framing.

Ruled out: a parser of our own in place of the library's (more to get wrong; the transports of net/http cannot use it); checks behind the parser (it has repaired the line by then).

--- /dev/null
+++ b/hemlockresponse/conn.go
@@ -0,0 +1,172 @@
+// Package hemlockresponse is the strict reading of HTTP/1.1 responses that all clients of the project share (RFC 9110 and 9112). Conn checks
+// the bytes of a peer before a parser of a library sees them: what a lenient parser would repair is no response.
+//
+// A recipient may repair these, and Conn passes them on: the same Content-Length more than once, a missing blank behind the status, an
+// unknown minor version. It refuses what a recipient may repair only at the risk of another framing: line feeds without a carriage
+// return, folded lines, blanks before a colon, Content-Length beside Transfer-Encoding.
+package hemlockresponse
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync"
+
+	"hemlockhollow/hemlockerror"
+	"hemlockhollow/hemlocknet"
+)
+
+// Conn is the client's end of an HTTP/1.1 connection. Its reader gets the head of a response only once the whole head has been checked, and
+// the lines that frame a body only once each has been. The first byte that breaks the protocol fails the read, and all later ones. Conn
+// also tells a reset from the plain end of a connection, see hemlocknet.ResetConn.
+//
+// One goroutine at a time may read. The other methods are safe for concurrent use.
+type Conn struct {
+	*hemlocknet.ResetConn
+	mutex  sync.Mutex
+	parser parser
+	// buffer holds the bytes that were received and not read: first those that have been checked and may be read, then the checked lines
+	// of an incomplete head, then an incomplete line or what follows a complete response.
+	buffer []byte
+	// readable is the number of bytes in buffer that may be read, checked that of those that have been checked, and searched that of those
+	// before which no unchecked line ends; readable <= checked <= searched <= len(buffer).
+	readable, checked, searched int
+	// err is returned once the readable bytes have been read; never reset.
+	err error
+}
+
+// NewConn returns a connection that expects no response yet.
+func NewConn(connection net.Conn) *Conn {
+	return &Conn{ResetConn: hemlocknet.NewResetConn(connection)}
+}
+
+// Expect begins a response to a request with the method. It must precede each response, also one that is skipped. It has no effect while a
+// response is incomplete.
+func (c *Conn) Expect(method string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.parser.phase == phaseIdle {
+		c.parser.expect(method)
+	}
+}
+
+// IsIdle reports whether no response is expected and nothing has been received behind the last one, so that the connection may carry
+// another request.
+func (c *Conn) IsIdle() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.parser.phase == phaseIdle && len(c.buffer) == 0 && c.err == nil
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(into []byte) (int, error) {
+	for len(into) > 0 {
+		if n, err := c.readBuffer(into); n > 0 || err != nil {
+			return n, err
+		}
+		n, err := c.ResetConn.Read(into)
+		if data := c.receive(into[:n], err); data > 0 {
+			return data, nil
+		}
+	}
+	return 0, nil
+}
+
+// readBuffer returns checked bytes, or the error behind the last of them, or neither if more must be received.
+func (c *Conn) readBuffer(into []byte) (int, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.readable == 0 && c.err == nil {
+		c.err = c.checkUnread()
+	}
+	if c.readable == 0 {
+		return 0, c.err
+	}
+	n := copy(into, c.buffer[:c.readable])
+	c.buffer = c.buffer[n:]
+	c.readable, c.checked, c.searched = c.readable-n, c.checked-n, c.searched-n
+	if len(c.buffer) == 0 {
+		c.buffer = nil
+	}
+	return n, nil
+}
+
+// checkUnread checks the bytes that arrived behind the last response. Unless another response is expected by now, they belong to none.
+func (c *Conn) checkUnread() error {
+	if c.parser.phase != phaseIdle {
+		return c.checkBuffer()
+	}
+	if len(c.buffer) > 0 {
+		return hemlockerror.New(operationRead, KindSurplus, "the peer sent bytes without a request")
+	}
+	return nil
+}
+
+// receive takes what a read of the connection returned. It returns the number of bytes from the first one on that may be read at once, as
+// they are data of a body, and keeps the others.
+func (c *Conn) receive(received []byte, err error) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	data := 0
+	if len(c.buffer) == 0 {
+		data = c.parser.skipData(received)
+	}
+	c.buffer = append(c.buffer, received[data:]...)
+	if failure := c.checkBuffer(); failure != nil {
+		c.err = failure
+	} else if err != nil {
+		c.err = c.endError(err)
+	}
+	return data
+}
+
+// endError returns the error of a read that follows the last received byte. It wraps io.ErrUnexpectedEOF if a response is incomplete.
+func (c *Conn) endError(err error) error {
+	if err == io.EOF && (!c.parser.mayEnd() || c.checked < len(c.buffer)) { //nolint:errorlint // ResetConn returns io.EOF itself
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// checkBuffer checks the bytes that have not been, as far as they are complete lines and data of expected responses.
+func (c *Conn) checkBuffer() error {
+	for c.checked < len(c.buffer) && c.parser.phase != phaseIdle {
+		if n := c.parser.skipData(c.buffer[c.checked:]); n > 0 {
+			c.markChecked(c.checked + n)
+			continue
+		}
+		end := bytes.IndexByte(c.buffer[c.searched:], '\n')
+		if end < 0 {
+			c.searched = len(c.buffer)
+			return c.parser.checkLineBytes(len(c.buffer) - c.checked)
+		}
+		if err := c.checkLine(c.buffer[c.checked : c.searched+end]); err != nil {
+			return err
+		}
+		c.markChecked(c.searched + end + 1)
+	}
+	return nil
+}
+
+// checkLine checks a line that ends with its line feed, which is not part of the argument.
+func (c *Conn) checkLine(line []byte) error {
+	text, ended := bytes.CutSuffix(line, []byte{'\r'})
+	if !ended {
+		if c.parser.inHead() {
+			return headError("a line that ends without a carriage return")
+		}
+		return bodyError("a line that ends without a carriage return")
+	}
+	if err := c.parser.checkLineBytes(len(text)); err != nil {
+		return err
+	}
+	return c.parser.addLine(text)
+}
+
+// markChecked records that the bytes before an index have been checked. Those of an incomplete head stay unreadable.
+func (c *Conn) markChecked(index int) {
+	c.checked, c.searched = index, index
+	if c.parser.phase != phaseField {
+		c.readable = index
+	}
+}
--- /dev/null
+++ b/hemlocktarget/broken_response_test.go
@@ -0,0 +1,125 @@
+package hemlocktarget
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+	"hemlockhollow/standin/response"
+)
+
+const soundBody = "0123456789"
+
+// respondOnce returns a script that sends a raw response to the first request of each connection and no more after it.
+func respondOnce(text string) func(*rawTarget, int, net.Conn, *bufio.Reader) {
+	return func(target *rawTarget, _ int, c net.Conn, r *bufio.Reader) {
+		if !target.readRequest(r) {
+			return
+		}
+		_, _ = io.WriteString(c, text)
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, r)
+	}
+}
+
+// wantNoResponse checks that a request to a target that sends the text has an unknown outcome.
+func wantNoResponse(t *testing.T, text string, options ...Option) {
+	t.Helper()
+	target := startRawTarget(t, respondOnce(text))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	body, err := invokeAndRead(ctx, startClient(t, target.address, options...), newRequest(http.MethodPost, "k", nil, 0))
+	if err == nil {
+		t.Fatalf("body %q, want no response", body)
+	}
+	equal(t, "verdict", hemlockcall.AsRefusal(err).Verdict, hemlockcall.VerdictUnknown)
+	equal(t, "requests received", target.requestCount("k"), 1)
+}
+
+func brokenResponses() []response.Response {
+	return slices.Concat(response.BrokenHeads("X-Id: 1\r\n", soundBody), response.BrokenBodies("X-Id: 1\r\n", soundBody))
+}
+
+// Guards against a response that breaks the protocol and is passed on.
+func TestBrokenResponseIsNoResponse(t *testing.T) {
+	for _, b := range brokenResponses() {
+		t.Run(b.Name, func(t *testing.T) {
+			t.Parallel()
+			wantNoResponse(t, b.Text)
+		})
+	}
+}
+
+// Guards against a sound refusal whose verdict is lost, which would prevent the retry of an at-most-once request for no reason.
+func TestSoundRefusalIsBelieved(t *testing.T) {
+	head := "HTTP/1.1 503 X\r\n"
+	for name, text := range map[string]string{
+		"empty":            head + "Content-Length: 0\r\n\r\n",
+		"a body":           head + "Content-Length: 5\r\n\r\nshort",
+		"a long body":      head + "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 100_000),
+		"chunks":           head + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n0\r\n\r\n",
+		"without a length": head + "\r\nshort",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := startRawTarget(t, respondOnce(text))
+			client := startClient(t, target.address, WithNotRunStatuses(func(status int) bool { return status == http.StatusServiceUnavailable }))
+			_, err := client.Invoke(t.Context(), newRequest(http.MethodPost, "k", nil, 0))
+			checkRefusal(t, err, hemlockcall.VerdictNotRun, hemlockcall.ReasonOverload)
+		})
+	}
+}
+
+// Guards against a sound response that is refused as broken. Responses without a length are refused, as a truncated one looks complete.
+func TestSoundResponsesPass(t *testing.T) {
+	for _, s := range response.Sound("X-Id: 1\r\n", soundBody) {
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			if s.Unframed {
+				wantNoResponse(t, s.Text)
+				return
+			}
+			target := startRawTarget(t, respondOnce(s.Text))
+			got, err := startClient(t, target.address).Invoke(t.Context(), newRequest(http.MethodPost, "k", nil, 0))
+			noError(t, err)
+			body, err := io.ReadAll(got.Body)
+			noError(t, err)
+			equal(t, "status", got.Status, s.Status)
+			equal(t, "body", string(body), s.Body)
+		})
+	}
+}
+
+// Guards against a reused connection on which the framing of the previous response is applied to the next one.
+func TestSoundResponsesOnOneConnection(t *testing.T) {
+	var framed []response.Response
+	for _, s := range response.Sound("X-Id: 1\r\n", soundBody) {
+		if !s.Unframed && !strings.Contains(s.Text, "Connection: close") && !strings.HasPrefix(s.Text, "HTTP/1.0") {
+			framed = append(framed, s)
+		}
+	}
+	connections := 0
+	target := startRawTarget(t, func(target *rawTarget, n int, c net.Conn, r *bufio.Reader) {
+		connections = n + 1
+		for _, s := range framed {
+			if !target.readRequest(r) {
+				return
+			}
+			_, _ = io.WriteString(c, s.Text)
+		}
+	})
+	client := startClient(t, target.address)
+	for _, s := range framed {
+		body, err := invokeAndRead(t.Context(), client, newRequest(http.MethodPost, "k", nil, 0))
+		if err != nil || string(body) != s.Body {
+			t.Errorf("%s: body %q, error %v; want body %q", s.Name, body, err, s.Body)
+		}
+	}
+	equal(t, "connections", connections, 1)
+}
--- a/hemlocktarget/client.go
+++ b/hemlocktarget/client.go
@@ -13,6 +13,7 @@
 	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockhttp"
 	"hemlockhollow/hemlocknet"
+	"hemlockhollow/hemlockresponse"
 )
 
 // Client sends requests to the local target.
@@ -105,7 +106,14 @@
 		return nil, err
 	}
 	c.openConnections.Add(1)
-	return hemlocknet.NewConn(hemlocknet.NewResetConn(&countedConnection{Conn: connection, open: &c.openConnections})), nil
+	checked := hemlockresponse.NewConn(&countedConnection{Conn: connection, open: &c.openConnections})
+	return &targetConnection{Conn: hemlocknet.NewConn(checked), responses: checked}, nil
+}
+
+// targetConnection is a connection to the target that counts writes and checks responses.
+type targetConnection struct {
+	*hemlocknet.Conn
+	responses *hemlockresponse.Conn
 }
 
 // countedConnection decreases a count when it is closed.
--- a/hemlocktarget/invoke.go
+++ b/hemlocktarget/invoke.go
@@ -16,7 +16,6 @@
 
 	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockhttp"
-	"hemlockhollow/hemlocknet"
 )
 
 // maxRetryAfter limits the Retry-After of a target.
@@ -37,7 +36,7 @@
 		return nil, hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "the target has not announced itself")
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	e := &execution{client: c, ctx: ctx, cancel: cancel}
+	e := &execution{client: c, method: request.Method, ctx: ctx, cancel: cancel}
 	httpRequest, err := e.newRequest(request, address)
 	if err != nil {
 		cancel(nil)
@@ -54,12 +53,13 @@
 // execution is the state of one request that is sent to the target.
 type execution struct {
 	client *Client
+	method string
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
 	mutex sync.Mutex
 	// connection carries the request; nil until the transport has chosen one.
-	connection *hemlocknet.Conn
+	connection *targetConnection
 	// writeCount is the write count of the connection before the request was written.
 	writeCount uint64
 }
@@ -125,10 +125,11 @@
 
 // gotConnection records the connection that the transport has chosen, and its write count before the request is written.
 func (e *execution) gotConnection(info httptrace.GotConnInfo) {
-	connection, ok := info.Conn.(*hemlocknet.Conn)
+	connection, ok := info.Conn.(*targetConnection)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if ok {
+		connection.responses.Expect(e.method)
 		e.connection, e.writeCount = connection, connection.WriteCount()
 	}
 }
