Refuse responses with a status out of range

Callers saw, in platform/hemlockupstream: the response that a target in trouble had sent behind one with status 000, or 099, which was skipped as an interim one. Responses with status 600 to 999 were passed on, by both fronts.

Cause: every status below 200 counted as interim. Nothing checked the range.

Change: the status must be between 100 and 599 (RFC 9110, section 15). Status 101 is refused, as no request asks for an upgrade; it was skipped before.

Evidence: BrokenStatusLines in standin/response, 26 status lines.

--- a/hemlockresponse/head.go
+++ b/hemlockresponse/head.go
@@ -33,6 +33,12 @@
 		}
 		status = status*10 + int(digit-'0')
 	}
+	if status < minStatus || status > maxStatus {
+		return head{}, headError("status out of range")
+	}
+	if status == http.StatusSwitchingProtocols {
+		return head{}, headError("a change of protocol that was not requested")
+	}
 	if reason := line[statusEnd:]; len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
 		return head{}, headError("malformed reason")
 	}
--- a/hemlockresponse/syntax.go
+++ b/hemlockresponse/syntax.go
@@ -1,5 +1,11 @@
 package hemlockresponse
 
+// The range of valid statuses (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // tokenBytes are the bytes of a token (RFC 9110, section 5.6.2), which the name of a field is.
 const tokenBytes = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
 
--- a/standin/response/response.go
+++ b/standin/response/response.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -48,7 +49,7 @@
 // BrokenHeads returns responses whose heads break the protocol (RFC 9110 and 9112). The fields are header lines that each of them
 // contains, each ended by CR LF.
 func BrokenHeads(fields, body string) []Response {
-	return BrokenFields(fields, body)
+	return slices.Concat(BrokenFields(fields, body), BrokenStatusLines(fields, body))
 }
 
 // BrokenFields returns responses with a header line that breaks the protocol.
@@ -82,6 +83,39 @@
 	}
 }
 
+// BrokenStatusLines returns responses whose status lines break the protocol, or have a status that no response to the request can have.
+func BrokenStatusLines(fields, body string) []Response {
+	m := message{fields, body}
+	return []Response{
+		{Name: "status 000", Text: m.withStatusLine("HTTP/1.1 000 OK")},
+		{Name: "status 000 before another response", Text: "HTTP/1.1 000 OK\r\n\r\n" + m.withStatusLine("HTTP/1.1 200 OK")},
+		{Name: "status 099", Text: m.withStatusLine("HTTP/1.1 099 OK")},
+		{Name: "status 099 before another response", Text: "HTTP/1.1 099 OK\r\n\r\n" + m.withStatusLine("HTTP/1.1 200 OK")},
+		{Name: "status 101 without an upgrade", Text: "HTTP/1.1 101 OK\r\n\r\n" + m.withStatusLine("HTTP/1.1 200 OK")},
+		{Name: "status 600", Text: m.withStatusLine("HTTP/1.1 600 OK")},
+		{Name: "status 999", Text: m.withStatusLine("HTTP/1.1 999 OK")},
+		{Name: "a status of two digits", Text: m.withStatusLine("HTTP/1.1 20 OK")},
+		{Name: "a status of four digits", Text: m.withStatusLine("HTTP/1.1 2000 OK")},
+		{Name: "a signed status", Text: m.withStatusLine("HTTP/1.1 +20 OK")},
+		{Name: "a status in letters", Text: m.withStatusLine("HTTP/1.1 abc OK")},
+		{Name: "no status", Text: m.withStatusLine("HTTP/1.1")},
+		{Name: "two blanks before the status", Text: m.withStatusLine("HTTP/1.1  200 OK")},
+		{Name: "a tab before the status", Text: m.withStatusLine("HTTP/1.1\t200 OK")},
+		{Name: "a tab behind the status", Text: m.withStatusLine("HTTP/1.1 200\tOK")},
+		{Name: "a control byte in the reason", Text: m.withStatusLine("HTTP/1.1 200 O\x01K")},
+		{Name: "a carriage return in the reason", Text: m.withStatusLine("HTTP/1.1 200 O\rK")},
+		{Name: "version 2.0", Text: m.withStatusLine("HTTP/2.0 200 OK")},
+		{Name: "version 0.9", Text: m.withStatusLine("HTTP/0.9 200 OK")},
+		{Name: "a version in lower case", Text: m.withStatusLine("http/1.1 200 OK")},
+		{Name: "a version of three digits", Text: m.withStatusLine("HTTP/1.10 200 OK")},
+		{Name: "another protocol", Text: m.withStatusLine("ICY 200 OK")},
+		{Name: "an empty line first", Text: "\r\n" + m.withStatusLine("HTTP/1.1 200 OK")},
+		{Name: "a blank first", Text: m.withStatusLine(" HTTP/1.1 200 OK")},
+		{Name: "lines without carriage returns", Text: strings.ReplaceAll(m.withStatusLine("HTTP/1.1 200 OK"), "\r\n", "\n")},
+		{Name: "a status line without a carriage return", Text: "HTTP/1.1 200 OK\n" + fields + m.length() + "\r\n" + body},
+	}
+}
+
 // BrokenBodies returns responses whose heads are sound and whose chunks or trailers break the protocol. The body must not be empty.
 func BrokenBodies(fields, body string) []Response {
 	head := "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n"
