Refuse responses whose framing fields contradict each other

Callers saw: the lines of chunks as the body of an HTTP/1.0 response, and one of two possible bodies where a response has both a length and chunks. Behind a 204 with a length or chunks, the bytes of its body were the beginning of the next response.

Cause: the library takes one of the framings, and drops the transfer coding of HTTP/1.0.

Change: chunks in HTTP/1.0, Content-Length beside Transfer-Encoding (RFC 9112, section 6.3: ought to be handled as an error), and a length above 0 or chunks of an interim response or a 204 are no response. Both fronts, the health check and the store's client share the check.

Evidence: BrokenFramings in standin/response, 18 cases; most were refused by the library before.

--- a/hemlockresponse/head.go
+++ b/hemlockresponse/head.go
@@ -13,6 +13,8 @@
 // head is what the framing of a response follows from.
 type head struct {
 	status int
+	// isHTTP10 is set for HTTP/1.0, which has no transfer codings.
+	isHTTP10 bool
 	// length is the value of Content-Length, or noLength.
 	length int64
 	// chunked is set if the response is sent in chunks.
@@ -42,7 +44,7 @@
 	if reason := line[statusEnd:]; len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
 		return head{}, headError("malformed reason")
 	}
-	return head{status: status, length: noLength}, nil
+	return head{status: status, isHTTP10: line[len(prefix)] == '0', length: noLength}, nil
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
@@ -95,3 +97,17 @@
 func (h *head) hasNoBody(method string) bool {
 	return h.isInterim() || method == http.MethodHead || h.status == http.StatusNoContent || h.status == http.StatusNotModified
 }
+
+// checkFraming checks the fields that frame the response. Where they contradict each other, a recipient that is less strict would find
+// another end of the response.
+func (h *head) checkFraming() error {
+	switch {
+	case h.chunked && h.isHTTP10:
+		return headError("chunks in HTTP/1.0")
+	case h.chunked && h.length != noLength:
+		return headError("both Content-Length and Transfer-Encoding")
+	case (h.isInterim() || h.status == http.StatusNoContent) && (h.chunked || h.length > 0):
+		return headError("a body of a status that has none")
+	}
+	return nil
+}
--- a/hemlockresponse/parser.go
+++ b/hemlockresponse/parser.go
@@ -116,15 +116,17 @@
 
 func (p *parser) addField(line []byte) error {
 	if len(line) == 0 {
-		p.endHead()
-		return nil
+		return p.endHead()
 	}
 	p.sectionBytes += len(line) + endOfLineBytes
 	return p.head.addField(line)
 }
 
 // endHead begins the phase behind a head.
-func (p *parser) endHead() {
+func (p *parser) endHead() error {
+	if err := p.head.checkFraming(); err != nil {
+		return err
+	}
 	switch {
 	case p.head.isInterim():
 		p.phase = phaseStatusLine
@@ -137,6 +139,7 @@
 	default:
 		p.phase, p.remaining = phaseBody, p.head.length
 	}
+	return nil
 }
 
 func (p *parser) addChunkSize(line []byte) error {
--- a/standin/response/response.go
+++ b/standin/response/response.go
@@ -49,7 +49,7 @@
 // BrokenHeads returns responses whose heads break the protocol (RFC 9110 and 9112). The fields are header lines that each of them
 // contains, each ended by CR LF.
 func BrokenHeads(fields, body string) []Response {
-	return slices.Concat(BrokenFields(fields, body), BrokenStatusLines(fields, body))
+	return slices.Concat(BrokenFields(fields, body), BrokenStatusLines(fields, body), BrokenFramings(fields, body))
 }
 
 // BrokenFields returns responses with a header line that breaks the protocol.
@@ -116,6 +116,32 @@
 	}
 }
 
+// BrokenFramings returns responses whose fields do not say, or contradict each other on, where the body ends.
+func BrokenFramings(fields, body string) []Response {
+	m := message{fields, body}
+	return []Response{
+		{Name: "chunks in HTTP/1.0", Text: "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + m.chunks()},
+		{Name: "a length and chunks", Text: m.framedBy(m.length()+"Transfer-Encoding: chunked\r\n", m.chunks())},
+		{Name: "chunks and a length", Text: m.framedBy("Transfer-Encoding: chunked\r\n"+m.length(), m.chunks())},
+		{Name: "two different lengths", Text: m.framedBy("Content-Length: 1\r\n"+m.length(), body)},
+		{Name: "a list of lengths", Text: m.framedBy(fmt.Sprintf("Content-Length: %d, 1\r\n", len(body)), body)},
+		{Name: "a signed length", Text: m.framedBy(fmt.Sprintf("Content-Length: +%d\r\n", len(body)), body)},
+		{Name: "a negative length", Text: m.framedBy("Content-Length: -1\r\n", body)},
+		{Name: "a hexadecimal length", Text: m.framedBy(fmt.Sprintf("Content-Length: 0x%x\r\n", len(body)), body)},
+		{Name: "an empty length", Text: m.framedBy("Content-Length:\r\n", body)},
+		{Name: "a length out of range", Text: m.framedBy("Content-Length: 18446744073709551616\r\n", body)},
+		{Name: "another transfer coding", Text: m.framedBy("Transfer-Encoding: gzip\r\n", body)},
+		{Name: "two transfer codings", Text: m.framedBy("Transfer-Encoding: gzip, chunked\r\n", m.chunks())},
+		{Name: "chunks twice", Text: m.framedBy("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", m.chunks())},
+		{Name: "an empty transfer coding", Text: m.framedBy("Transfer-Encoding:\r\n"+m.length(), body)},
+		{Name: "a parameter of the transfer coding", Text: m.framedBy("Transfer-Encoding: chunked;a=b\r\n", m.chunks())},
+		{Name: "status 204 with chunks", Text: "HTTP/1.1 204 No Content\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + m.chunks()},
+		{Name: "status 204 with a length", Text: "HTTP/1.1 204 No Content\r\n" + fields + m.length() + "\r\n" + body},
+		{Name: "an interim head with a body", Text: "HTTP/1.1 103 Early Hints\r\nContent-Length: 1\r\n\r\nx" +
+			m.withStatusLine("HTTP/1.1 200 OK")},
+	}
+}
+
 // BrokenBodies returns responses whose heads are sound and whose chunks or trailers break the protocol. The body must not be empty.
 func BrokenBodies(fields, body string) []Response {
 	head := "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n"
