Believe a target's refusal only if its response is whole

Callers saw, in hemlocktarget: a refusal that says not-run, or a retry of an at-most-once request, for a response whose head had the status of a refusal and whose body was cut off, reset or broken.

Cause: the refusal followed from the status alone; the error of reading its body was dropped.

Evidence: TestBrokenRefusalIsNotBelieved (26 cases failed) and TestResetDuringUploadIsNoResponse with status 503 (three sizes), before the change: verdict: got not-run, want unknown TestSoundRefusalIsBelieved held before, as did the other cases of TestResetDuringUploadIsNoResponse: responses without a length are refused.

--- a/hemlocktarget/broken_response_test.go
+++ b/hemlocktarget/broken_response_test.go
@@ -60,6 +60,33 @@
 	}
 }
 
+// Guards against a refusal that is believed although the response that states it breaks the protocol or is cut off.
+func TestBrokenRefusalIsNotBelieved(t *testing.T) {
+	refused := WithNotRunStatuses(func(status int) bool { return status == http.StatusServiceUnavailable })
+	for _, b := range brokenResponses() {
+		if text := strings.Replace(b.Text, " 200 ", " 503 ", 1); text != b.Text {
+			t.Run(b.Name, func(t *testing.T) {
+				t.Parallel()
+				wantNoResponse(t, text, refused)
+			})
+		}
+	}
+	head := "HTTP/1.1 503 X\r\n"
+	for name, text := range map[string]string{
+		"short body":        head + "Content-Length: 10\r\n\r\nshort",
+		"short long body":   head + "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 50_000),
+		"no last chunk":     head + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+		"a body too long":   head + "Content-Length: 3000000\r\n\r\n" + strings.Repeat("x", 3_000_000),
+		"a broken interim":  "HTTP/1.1 000 X\r\n\r\n" + head + "Content-Length: 0\r\n\r\n",
+		"two blank lengths": head + "Content-Length : 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			wantNoResponse(t, text, refused)
+		})
+	}
+}
+
 // Guards against a sound refusal whose verdict is lost, which would prevent the retry of an at-most-once request for no reason.
 func TestSoundRefusalIsBelieved(t *testing.T) {
 	head := "HTTP/1.1 503 X\r\n"
@@ -127,6 +154,35 @@
 	equal(t, "connections", connections, 1)
 }
 
+// Guards against a part of a response that counts as whole, or as a refusal, because the connection was reset while the request was being
+// written.
+func TestResetDuringUploadIsNoResponse(t *testing.T) {
+	const calls = 20
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.1 503 X\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\n"} {
+		for _, bytes := range []int{40 << 10, 1 << 20, 16 << 20} {
+			t.Run(fmt.Sprintf("%d bytes, %q", bytes, head), func(t *testing.T) {
+				target := startRawTarget(t, func(_ *rawTarget, n int, c net.Conn, r *bufio.Reader) {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, head+soundBody)
+					time.Sleep(time.Duration(n%3) * 100 * time.Microsecond) // so that the client has read the part, or not
+					_ = c.(*net.TCPConn).SetLinger(0)
+				})
+				client := startClient(t, target.address, WithNotRunStatuses(func(status int) bool { return status == http.StatusServiceUnavailable }))
+				for range calls {
+					_, err := invokeAndRead(t.Context(), client, newRequest(http.MethodPost, "k", strings.NewReader(strings.Repeat("x", bytes)), int64(bytes)))
+					if err == nil {
+						t.Fatal("the part counts as a whole response")
+					}
+					equal(t, "verdict", hemlockcall.AsRefusal(err).Verdict, hemlockcall.VerdictUnknown)
+				}
+			})
+		}
+	}
+}
+
 // Guards against the heads of many responses at once, which are each within their limit and together exhaust the memory of the process.
 func TestManyHeadsShareMemory(t *testing.T) {
 	const calls, headBytes, limit = 300, 60 << 10, 8 << 20
--- a/hemlocktarget/invoke.go
+++ b/hemlocktarget/invoke.go
@@ -166,7 +166,7 @@
 
 func (e *execution) readResponse(request *hemlockcall.Request, httpResponse *http.Response) (*hemlockcall.Response, error) {
 	if e.client.settings.isNotRun(httpResponse.StatusCode) {
-		return nil, e.notRunRefusal(httpResponse)
+		return nil, e.refusalOfTarget(httpResponse)
 	}
 	length := httpResponse.ContentLength
 	if request.Method == http.MethodHead || httpResponse.Body == http.NoBody {
@@ -192,12 +192,18 @@
 	return response, nil
 }
 
-// notRunRefusal returns the refusal for a response whose status means that the target did not run the request.
-func (e *execution) notRunRefusal(httpResponse *http.Response) *hemlockcall.Refusal {
-	// A short body is read to its end so that the connection can be reused.
-	_, _ = io.CopyN(io.Discard, httpResponse.Body, 4<<10)
-	_ = httpResponse.Body.Close()
-	e.cancel(nil)
+// refusalOfTarget returns the refusal for a response whose status means that the target did not run the request. A response that is not
+// complete says nothing, and one with a very long body is not read to its end.
+func (e *execution) refusalOfTarget(httpResponse *http.Response) *hemlockcall.Refusal {
+	body := &responseBody{body: httpResponse.Body, execution: e}
+	defer func() { _ = body.Close() }()
+	length, err := io.Copy(io.Discard, io.LimitReader(body, hemlockhttp.MaxBufferedResponse+1))
+	if err != nil {
+		return hemlockcall.AsRefusal(err)
+	}
+	if length > hemlockhttp.MaxBufferedResponse {
+		return hemlockcall.RefuseUnknown(hemlockcall.ReasonTooLarge, "a refusal of the target has a body that is too long to be checked")
+	}
 	refusal := hemlockcall.Refuse(hemlockcall.ReasonOverload, "the target responded with status "+strconv.Itoa(httpResponse.StatusCode))
 	seconds, err := strconv.Atoi(httpResponse.Header.Get("Retry-After"))
 	if err != nil || seconds <= 0 {
