Check the heads of responses that peers relay

Callers would see a broken response that a node of an older version, beside a target in trouble, has passed on: a node relayed the status and header lines of a peer as they came, also a status of 0.

Cause: the messages between nodes were checked for their sizes only (streamed bodies: status 200 to 999).

Change: the head in such a message is held to the same rules (CheckHead, CheckHeadLines). On the stream that many calls share, only the call concerned ends, with an unknown outcome, since the messages themselves are sound; a call with a stream of its own ends as for any other violation.

--- a/hemlockpeer/head.go
+++ b/hemlockpeer/head.go
@@ -9,6 +9,7 @@
 
 	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockpeer/hemlockwire"
+	"hemlockhollow/hemlockresponse"
 )
 
 // Limits on what a peer may send, in bytes unless the name says otherwise. They limit the memory that one frame can use
@@ -269,8 +270,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if head.GetStatus() < 200 || head.GetStatus() > 999 || head.GetLength() < -1 {
-		return nil, violation("decode response", "status or length out of range")
+	if err := hemlockresponse.CheckHead(int(head.GetStatus()), header); err != nil {
+		return nil, violation("decode response", err.Error())
+	}
+	if head.GetLength() < -1 {
+		return nil, violation("decode response", "length out of range")
 	}
 	return &hemlockcall.Response{Status: int(head.GetStatus()), Header: header, Length: head.GetLength()}, nil
 }
--- a/hemlockpeer/relay_connection.go
+++ b/hemlockpeer/relay_connection.go
@@ -8,6 +8,7 @@
 
 	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockpeer/hemlockwire"
+	"hemlockhollow/hemlockresponse"
 )
 
 const (
@@ -116,6 +117,11 @@
 		if err != nil {
 			return err
 		}
+		if err := hemlockresponse.CheckHeadLines(response.Status, string(response.Header)); err != nil {
+			// The messages of the peer are sound, so only this call fails.
+			c.complete(p.GetCall(), callResult{err: hemlockcall.RefuseUnknown(hemlockcall.ReasonTarget, err.Error())})
+			return nil
+		}
 		call.response = response
 	}
 	if call.response == nil {
--- a/hemlockresponse/conn.go
+++ b/hemlockresponse/conn.go
@@ -1,5 +1,6 @@
 // Package hemlockresponse is the strict reading of HTTP/1.1 responses that all clients of the project share (RFC 9110 and 9112). Conn checks
-// the bytes of a peer before a parser of a library sees them: what a lenient parser would repair is no response.
+// the bytes of a peer before a parser of a library sees them: what a lenient parser would repair is no response. CheckHead and
+// CheckHeadLines hold responses that arrive in other formats to the same rules.
 //
 // A recipient may repair these, and Conn passes them on: the same Content-Length more than once, a missing blank behind the status, an
 // unknown minor version. It refuses what a recipient may repair only at the risk of another framing: line feeds without a carriage
--- a/hemlockresponse/syntax.go
+++ b/hemlockresponse/syntax.go
@@ -1,5 +1,10 @@
 package hemlockresponse
 
+import (
+	"net/http"
+	"strings"
+)
+
 // The range of valid statuses (RFC 9110, section 15).
 const (
 	minStatus = 100
@@ -37,6 +42,43 @@
 	return true
 }
 
+// CheckHead returns an error if a status is not that of a final response, or if a header has an invalid name or value.
+func CheckHead(status int, header http.Header) error {
+	for name, values := range header {
+		if !isToken(name) {
+			return headError("invalid name of a field")
+		}
+		for _, v := range values {
+			if !isText(v) {
+				return headError("invalid value of a field")
+			}
+		}
+	}
+	return checkFinalStatus(status)
+}
+
+func checkFinalStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return headError("status out of range")
+	}
+	return nil
+}
+
+// CheckHeadLines is CheckHead for a header in lines, each ended by CR LF.
+func CheckHeadLines(status int, lines string) error {
+	for lines != "" {
+		line, rest, ended := strings.Cut(lines, "\r\n")
+		if !ended {
+			return headError("a header line without an end")
+		}
+		if _, _, err := parseField(line); err != nil {
+			return err
+		}
+		lines = rest
+	}
+	return checkFinalStatus(status)
+}
+
 // parseField splits a header line without its end into a name and a value without the blanks around it.
 func parseField[T string | []byte](line T) (name, value T, err error) {
 	colon := 0
