Check the head of a stored response before it is sent

Callers would see a broken response again that a node of an older version has stored with the claim of an order. A stored response without a status ended the repeated request by a panic in net/http.

Change: the head of a stored response is held to the same rules; otherwise the outcome is unknown, as the order has run.

Evidence: TestBrokenStoredResponseIsNoResponse. With the check taken out, six cases: response with status 200 and header map[X Name:[1]], want an unknown outcome

--- a/hemlocknode/atmostonce.go
+++ b/hemlocknode/atmostonce.go
@@ -8,6 +8,7 @@
 
 	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockclaim"
+	"hemlockhollow/hemlockresponse"
 )
 
 // maxStoreWait is the maximum time that a response is delayed until it is stored; most writes take less. After that time the
@@ -37,7 +38,7 @@
 		return nil, hemlockclaim.Refusal(err).WithFeedback(hemlockcall.Feedback{UnusedRetries: request.Context.RetryBudget})
 	}
 	if stored != nil {
-		return storedResponse(stored, request.Context.RetryBudget), nil
+		return storedResponse(stored, request.Context.RetryBudget)
 	}
 	response, err := c.dispatcher.Invoke(ctx, request, body)
 	if err != nil {
@@ -89,13 +90,18 @@
 	return &forwarded, nil
 }
 
-func storedResponse(stored *hemlockclaim.StoredResponse, unusedRetries int) *hemlockcall.Response {
+// storedResponse returns the response that is stored with a claim. A node that read the responses of targets less strictly may have
+// stored it, so its head is checked again.
+func storedResponse(stored *hemlockclaim.StoredResponse, unusedRetries int) (*hemlockcall.Response, error) {
 	feedback := hemlockcall.Feedback{UnusedRetries: unusedRetries}
+	if err := hemlockresponse.CheckHead(stored.Status, stored.Header); err != nil {
+		return nil, hemlockcall.RefuseUnknown(hemlockcall.ReasonTarget, "stored response: "+err.Error()).WithFeedback(feedback)
+	}
 	return &hemlockcall.Response{
 		Status:   stored.Status,
 		Header:   stored.Header,
 		Body:     io.NopCloser(bytes.NewReader(stored.Body)),
 		Length:   int64(len(stored.Body)),
 		Feedback: func() hemlockcall.Feedback { return feedback },
-	}
+	}, nil
 }
--- a/hemlocknode/response_test.go
+++ b/hemlocknode/response_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockclaim"
 )
 
 func newResponse(text string, length int64) *hemlockcall.Response {
@@ -34,3 +36,37 @@
 		t.Errorf("a streamed response within the limit gave %q, error %v; want the complete body and no error", text, err)
 	}
 }
+
+// Guards against a stored response that breaks the protocol and is sent to a caller. A node that read the responses of targets less
+// strictly may have stored it.
+func TestBrokenStoredResponseIsNoResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		status           int
+		fieldName, value string
+		wantUnknown      bool
+	}{
+		"sound":                  {201, "X-Name", "caf\u00e9", false},
+		"no status":              {0, "X-Name", "1", true},
+		"an interim status":      {103, "X-Name", "1", true},
+		"status 600":             {600, "X-Name", "1", true},
+		"a blank in a name":      {200, "X Name", "1", true},
+		"a control byte":         {200, "X-Name", "\x01", true},
+		"a second line in value": {200, "X-Name", "1\r\nX: 2", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			response, err := storedResponse(&hemlockclaim.StoredResponse{Status: c.status, Header: http.Header{c.fieldName: {c.value}}}, 2)
+			if !c.wantUnknown {
+				if err != nil || response.Status != c.status {
+					t.Errorf("response %+v, error %v; want the response", response, err)
+				}
+				return
+			}
+			if err == nil {
+				t.Fatalf("response with status %d and header %v, want an unknown outcome", response.Status, response.Header)
+			}
+			if r := hemlockcall.AsRefusal(err); r.Verdict != hemlockcall.VerdictUnknown || r.Feedback.UnusedRetries != 2 {
+				t.Errorf("refusal %+v, want an unknown outcome with 2 unused retries", r)
+			}
+		})
+	}
+}
