Wait at the end of a response also for a write that has not begun

Callers saw nothing; the target lost the rest of an upload: a target that ends an early response without a length and reads on got no byte of the body, because the connection was closed before the goroutine that writes it had been scheduled.

Cause: ResetConn takes a write as in progress from the call of Write on, and that call came from the new goroutine.

Change: WriteInBackground marks the write before it returns. Whether a response is whole did not depend on this: a write that has not begun cannot have got a reset.

--- a/hemlocknet/reset_conn.go
+++ b/hemlocknet/reset_conn.go
@@ -32,6 +32,22 @@
 func (c *ResetConn) Write(data []byte) (int, error) {
 	c.writer <- struct{}{}
 	defer func() { <-c.writer }()
+	return c.write(data)
+}
+
+// WriteInBackground writes data in another goroutine and then calls done with the error of the write. The write is in progress for a read
+// that begins after WriteInBackground has returned, even if the goroutine has not been scheduled yet.
+func (c *ResetConn) WriteInBackground(data []byte, done func(err error)) {
+	c.writer <- struct{}{}
+	go func() {
+		defer func() { <-c.writer }()
+		_, err := c.write(data)
+		done(err)
+	}()
+}
+
+// write must be called with writer full.
+func (c *ResetConn) write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
 	if err != nil && c.writeErr == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.writeErr = err
--- a/hemlocknet/reset_conn_test.go
+++ b/hemlocknet/reset_conn_test.go
@@ -58,11 +58,7 @@
 				scripted := newScriptedConn()
 				connection := NewResetConn(scripted)
 				written := make(chan struct{})
-				go func() {
-					_, _ = connection.Write([]byte("x"))
-					close(written)
-				}()
-				synctest.Wait()
+				connection.WriteInBackground([]byte("x"), func(error) { close(written) })
 				time.AfterFunc(c.after, func() { scripted.writeErr <- c.err })
 				if c.after == 0 {
 					<-written
