Do not copy a response that arrives in one piece

Conn copied the bytes of each response into its buffer first. Now it checks them where they were read, and keeps a copy only of an incomplete head or line and of what follows a response. Comments name what the memory budget and the package cover.

--- a/hemlockmemory/budget.go
+++ b/hemlockmemory/budget.go
@@ -1,4 +1,4 @@
-// Package hemlockmemory limits the memory of the bodies that a process holds for others. It does no I/O.
+// Package hemlockmemory limits the memory of the bodies that a process holds for others, and of the heads of responses. It does no I/O.
 package hemlockmemory
 
 import (
@@ -18,7 +18,7 @@
 // ErrFull means that the budget has no memory left for a body.
 var ErrFull = errors.New("no memory is left for bodies")
 
-// Budget limits the bytes of all bodies that a process holds. It is safe for concurrent use.
+// Budget limits the bytes of all bodies that a process holds; a head counts as a body. It is safe for concurrent use.
 type Budget struct {
 	// total limits all bodies, maxLarge the large ones among them.
 	total, maxLarge int64
--- a/hemlockresponse/conn.go
+++ b/hemlockresponse/conn.go
@@ -1,5 +1,5 @@
-// Package hemlockresponse is the strict reading of HTTP/1.1 responses that all clients of the project share (RFC 9110 and 9112). Conn checks
-// the bytes of a peer before a parser of a library sees them: what a lenient parser would repair is no response. CheckHead and
+// Package hemlockresponse is the strict reading of HTTP/1.1 responses (RFC 9110 and 9112) that the clients of targets and of the store share.
+// Conn checks the bytes of a peer before a parser of a library sees them: what a lenient parser would repair is no response. CheckHead and
 // CheckHeadLines hold responses that arrive in other formats to the same rules.
 //
 // A recipient may repair these, and Conn passes them on: the same Content-Length more than once, a missing blank behind the status, an
@@ -103,8 +103,8 @@
 			return n, err
 		}
 		n, err := c.ResetConn.Read(into)
-		if data := c.receive(into[:n], err); data > 0 {
-			return data, nil
+		if readable := c.receive(into[:n], err); readable > 0 {
+			return readable, nil
 		}
 	}
 	return 0, nil
@@ -121,14 +121,19 @@
 		return 0, c.err
 	}
 	n := copy(into, c.buffer[:c.readable])
-	c.buffer = c.buffer[n:]
-	c.readable, c.checked, c.searched = c.readable-n, c.checked-n, c.searched-n
+	c.removeReadable(n)
 	if len(c.buffer) == 0 {
 		c.buffer = nil
 	}
 	return n, nil
 }
 
+// removeReadable removes bytes that have been read from the buffer.
+func (c *Conn) removeReadable(n int) {
+	c.buffer = c.buffer[n:]
+	c.readable, c.checked, c.searched = c.readable-n, c.checked-n, c.searched-n
+}
+
 // checkUnread checks the bytes that arrived behind the last response. Unless another response is expected by now, they belong to none. A
 // transport of net/http reads on while its connection is idle, so the heads of the last response are no longer in use.
 func (c *Conn) checkUnread() error {
@@ -142,22 +147,29 @@
 	return nil
 }
 
-// receive takes what a read of the connection returned. It returns the number of bytes from the first one on that may be read at once, as
-// they are data of a body, and keeps the others.
+// receive takes what a read of the connection returned. It returns the number of bytes from the first one on that may be read at once, and
+// keeps a copy of the others.
 func (c *Conn) receive(received []byte, err error) int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	data := 0
-	if len(c.buffer) == 0 {
-		data = c.parser.skipData(received)
+	isEmpty := len(c.buffer) == 0
+	if isEmpty {
+		c.buffer = received // not copied, as usually all of it is readable
+	} else {
+		c.buffer = append(c.buffer, received...)
 	}
-	c.buffer = append(c.buffer, received[data:]...)
 	if failure := c.checkBuffer(); failure != nil {
 		c.err = failure
 	} else if err != nil {
 		c.err = c.endError(err)
 	}
-	return data
+	if !isEmpty {
+		return 0
+	}
+	readable := c.readable
+	c.removeReadable(readable)
+	c.buffer = append([]byte(nil), c.buffer...)
+	return readable
 }
 
 // endError returns the error of a read that follows the last received byte. It wraps io.ErrUnexpectedEOF if a response is incomplete.
