Limit trailers to what the parser of the library accepts

Callers would see: requests that end because the process beside a target in trouble runs out of memory. Since hemlockresponse keeps an incomplete line, 400 responses at once with a stalled trailer line of 60 KiB held 37 MB in a process of 32 MiB; before that package, the read buffer of 4 KiB was the limit.

Change: trailers have at most 4 KiB, as before. Heads, up to 64 KiB, stay in the memory budget.

--- a/hemlockresponse/conn_test.go
+++ b/hemlockresponse/conn_test.go
@@ -208,11 +208,11 @@
 // Guards against a head without end, in one line, in many, or in interim heads, and against one that stays just below the limit.
 func TestHeadLimits(t *testing.T) {
 	start := "HTTP/1.1 200 OK\r\n"
-	lines := strings.Repeat("X-Line: abcdefghij\r\n", maxSectionBytes/20+1)
+	lines := strings.Repeat("X-Line: abcdefghij\r\n", maxHeadBytes/20+1)
 	for name, text := range map[string]string{
-		"one line":      start + "X-Line: " + strings.Repeat("x", 2*maxSectionBytes),
+		"one line":      start + "X-Line: " + strings.Repeat("x", 2*maxHeadBytes),
 		"many lines":    start + lines,
-		"a status line": "HTTP/1.1 200 " + strings.Repeat("x", 2*maxSectionBytes),
+		"a status line": "HTTP/1.1 200 " + strings.Repeat("x", 2*maxHeadBytes),
 		"trailers":      start + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + lines,
 		"a chunk size":  start + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("0", 2*maxChunkLineBytes),
 	} {
@@ -221,7 +221,7 @@
 			c.Expect(http.MethodGet)
 			n, err := io.Copy(io.Discard, c)
 			wantKind(t, err, KindHead, KindBody)
-			if n > maxSectionBytes+maxChunkLineBytes {
+			if n > maxHeadBytes+maxChunkLineBytes {
 				t.Errorf("%d bytes were passed on", n)
 			}
 		})
@@ -230,7 +230,7 @@
 
 // Guards against a head whose lines are searched again with each byte that arrives.
 func TestHeadThatArrivesByteByByte(t *testing.T) {
-	text := "HTTP/1.1 200 OK\r\nX-Line: " + strings.Repeat("x", maxSectionBytes-100) + "\r\nContent-Length: 0\r\n\r\n"
+	text := "HTTP/1.1 200 OK\r\nX-Line: " + strings.Repeat("x", maxHeadBytes-100) + "\r\nContent-Length: 0\r\n\r\n"
 	c := newPartsConn(nil, splitEvery(text, 1)...)
 	started := time.Now()
 	if _, _, err := readResponse(c, bufio.NewReader(c)); err != nil {
--- a/hemlockresponse/parser.go
+++ b/hemlockresponse/parser.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// maxSectionBytes limits a head, and the trailers of a response.
-	maxSectionBytes = 64 << 10
+	// maxHeadBytes limits a head.
+	maxHeadBytes = 64 << 10
+	// maxTrailerBytes limits the trailers of a response, which are in no memory budget. The parser of the library accepts no more either.
+	maxTrailerBytes = 4 << 10
 	// maxChunkLineBytes limits a line with the size of a chunk.
 	maxChunkLineBytes = 4 << 10
 	// endOfLineBytes is the size of CR LF.
@@ -181,15 +183,15 @@
 func (p *parser) checkLineBytes(bytes int) error {
 	switch p.phase {
 	case phaseStatusLine:
-		if bytes > maxSectionBytes {
+		if bytes > maxHeadBytes {
 			return headError("the head is too large")
 		}
 	case phaseField:
-		if p.sectionBytes+bytes > maxSectionBytes {
+		if p.sectionBytes+bytes > maxHeadBytes {
 			return headError("the head is too large")
 		}
 	case phaseTrailer:
-		if p.sectionBytes+bytes > maxSectionBytes {
+		if p.sectionBytes+bytes > maxTrailerBytes {
 			return bodyError("the trailers are too large")
 		}
 	default:
