Count the bodies that hemlocktarget buffers towards a memory budget

Each call buffers up to 1 MiB of a response, and a target may have 1,000 connections.

Cause: bodies were limited for each call only.

Change: a body counts towards a budget of 256 MiB (WithBodyMemory) while it is buffered: its length at once, or its bytes as they are read. If the budget is full, the outcome is unknown and the connection is closed.

Evidence: TestManyBodiesShareMemory, 300 bodies that stall after 1 MB, a budget of 16 MiB.

--- a/hemlocktarget/broken_response_test.go
+++ b/hemlocktarget/broken_response_test.go
@@ -219,6 +219,46 @@
 	waitUntil(t, "all memory released", func() bool { return client.headMemory.Snapshot().Used == 0 })
 }
 
+// Guards against the bodies of many responses at once that never end, which are each within their limit and together exhaust the memory of the
+// process.
+func TestManyBodiesShareMemory(t *testing.T) {
+	const calls, bodyBytes, limit = 300, 1_000_000, 16 << 20
+	for name, head := range map[string]string{
+		"chunks":   fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", bodyBytes+1),
+		"a length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", bodyBytes+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := startRawTarget(t, func(target *rawTarget, _ int, c net.Conn, r *bufio.Reader) {
+				if target.readRequest(r) {
+					_, _ = io.WriteString(c, head+strings.Repeat("x", bodyBytes))
+					_, _ = io.Copy(io.Discard, r)
+				}
+			})
+			client := startClient(t, target.address, WithBodyMemory(limit))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			before := liveBytes()
+			var group sync.WaitGroup
+			for range calls {
+				group.Go(func() {
+					_, err := invokeAndRead(ctx, client, newRequest(http.MethodPost, "k", nil, 0))
+					if err == nil || hemlockcall.AsRefusal(err).Verdict != hemlockcall.VerdictUnknown {
+						t.Errorf("error %v, want an unknown outcome", err)
+					}
+				})
+			}
+			waitUntil(t, "all requests received", func() bool { return target.requestCount("k") == calls })
+			time.Sleep(500 * time.Millisecond) // the client reads what the target has sent
+			if held := liveBytes() - before; held > 3*limit {
+				t.Errorf("%d bodies that stalled hold %d bytes, want at most %d", calls, held, 3*limit)
+			}
+			cancel()
+			group.Wait()
+			waitUntil(t, "all memory released", func() bool { return client.bodyMemory.Snapshot().Used == 0 })
+		})
+	}
+}
+
 // liveBytes returns the bytes of the live objects on the heap.
 func liveBytes() int64 {
 	var stats runtime.MemStats
--- a/hemlocktarget/client.go
+++ b/hemlocktarget/client.go
@@ -27,8 +27,8 @@
 	maxConnections int
 	// transport reuses its connections; singleUse opens one for each request.
 	transport, singleUse *http.Transport
-	// headMemory limits the heads of all responses together.
-	headMemory *hemlockmemory.Budget
+	// headMemory limits the heads of all responses together, bodyMemory the bodies that are being buffered.
+	headMemory, bodyMemory *hemlockmemory.Budget
 	// openConnections counts the connections of both transports.
 	openConnections atomic.Int64
 }
@@ -44,6 +44,7 @@
 	stallTimeout   time.Duration
 	idleTimeout    time.Duration
 	headMemory     int64
+	bodyMemory     int64
 }
 
 // WithMaxConnections sets the maximum number of connections to the target. The default is 1,000.
@@ -84,6 +85,11 @@
 	return func(s *settings) { s.headMemory = bytes }
 }
 
+// WithBodyMemory sets the memory in bytes that the bodies of all responses may use while they are buffered. The default is 256 MiB.
+func WithBodyMemory(bytes int64) Option {
+	return func(s *settings) { s.bodyMemory = bytes }
+}
+
 // NewClient returns a client that has no address yet.
 func NewClient(options ...Option) *Client {
 	s := settings{
@@ -94,11 +100,13 @@
 		stallTimeout:   2 * time.Second,
 		idleTimeout:    20 * time.Second,
 		headMemory:     16 << 20,
+		bodyMemory:     256 << 20,
 	}
 	for _, o := range options {
 		o(&s)
 	}
-	c := &Client{settings: s, maxConnections: s.maxConnections, headMemory: hemlockmemory.NewBudget(s.headMemory)}
+	c := &Client{settings: s, maxConnections: s.maxConnections, headMemory: hemlockmemory.NewBudget(s.headMemory),
+		bodyMemory: hemlockmemory.NewBudget(s.bodyMemory)}
 	c.setTransports()
 	return c
 }
--- a/hemlocktarget/invoke.go
+++ b/hemlocktarget/invoke.go
@@ -185,7 +185,7 @@
 		Feedback: func() hemlockcall.Feedback { return hemlockcall.Feedback{} },
 	}
 	body := &responseBody{body: httpResponse.Body, execution: e}
-	if err := bufferResponse(response, body, e.client.settings.maxBuffered(request)); err != nil {
+	if err := bufferResponse(response, body, e.client.settings.maxBuffered(request), e.client.bodyMemory); err != nil {
 		_ = body.Close()
 		return nil, err
 	}
--- a/hemlocktarget/response.go
+++ b/hemlocktarget/response.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"io"
 
+	"github.com/pkg/errors"
+
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockmemory"
 )
 
 // responseBody is the body of the target's response. Its errors are refusals with an unknown outcome.
@@ -28,18 +31,30 @@
 	return b.body.Close()
 }
 
-// bufferResponse reads the body of a response into memory if it has at most limit bytes. A larger one is streamed. The error
-// is a refusal.
-func bufferResponse(response *hemlockcall.Response, body io.ReadCloser, limit int64) error {
+// bufferResponse reads the body of a response into memory if it has at most limit bytes. A larger one is streamed. The body counts towards
+// the memory budget until it has been read. The error is a refusal.
+func bufferResponse(response *hemlockcall.Response, body io.ReadCloser, limit int64, memory *hemlockmemory.Budget) error {
 	if response.Length > limit {
 		response.Body = body
 		return nil
 	}
+	reservation, err := memory.Reserve(max(response.Length, 0))
+	defer reservation.Release()
+	if err != nil {
+		return hemlockcall.RefuseUnknown(hemlockcall.ReasonTarget, err.Error())
+	}
+	source := io.LimitReader(body, limit+1)
+	if response.Length < 0 {
+		source = reservation.Reader(source)
+	}
 	var buffered bytes.Buffer
 	if response.Length > 0 {
 		buffered.Grow(int(response.Length))
 	}
-	count, err := io.Copy(&buffered, io.LimitReader(body, limit+1))
+	count, err := io.Copy(&buffered, source)
+	if errors.Is(err, hemlockmemory.ErrFull) {
+		return hemlockcall.RefuseUnknown(hemlockcall.ReasonTarget, err.Error())
+	}
 	if err != nil {
 		return hemlockcall.AsRefusal(err)
 	}
