--- a/hemlockcall/relay.go
+++ b/hemlockcall/relay.go
@@ -40,6 +40,10 @@
 	Idempotent bool
 	// Fingerprint is equal for calls with the same content from the same service.
 	Fingerprint uint64
+	// Organisation is the name of the customer that sent the call; empty for nested calls and without organisations.
+	Organisation string
+	// OrganisationRank orders organisations, before the priority of their calls; 0 is the most important.
+	OrganisationRank uint8
 	// TargetReport is what the entry node knows of the target that the call is sent to; without content in most calls.
 	TargetReport TargetReport
 	// Withdrawn is closed once the entry node has withdrawn the call: it must no longer be passed to the target. A call that was passed
--- a/hemlockcall/request.go
+++ b/hemlockcall/request.go
@@ -51,6 +51,15 @@
 	Load float64
 	// Age is the time since the load was last measured.
 	Age time.Duration
+	// Refused is the fraction of the calls of the service that fail after all attempts because its targets refuse them; 0 to 1.
+	Refused float64
+}
+
+// CallDemand is the demand of one run of a class on one service.
+type CallDemand struct {
+	Service string
+	// Calls is the mean number of calls that a run makes there, with all nested ones; above 0.
+	Calls float64
 }
 
 // Feedback is what the called side reports at the end of a response or with a refusal.
@@ -69,6 +78,11 @@
 	// Target is what the called node knows of its target's statements. It is without content unless the target states
 	// something or the call had a report.
 	Target TargetReport
+	// Demands is what one run of the called class demands of other services; nil if it is unknown or was reported recently. The slice is
+	// not modified after it was set.
+	Demands []CallDemand
+	// Outstanding is the expected work of the calls that are running or queued at the called target; 0 means unknown.
+	Outstanding time.Duration
 }
 
 // Response is the response to a Request.
--- a/hemlockpeer/head.go
+++ b/hemlockpeer/head.go
@@ -164,6 +164,7 @@
 		Limit:    uint32(max(feedback.Limit, 0)),
 		Loads:    encodeLoads(feedback.Loads),
 		Target:   encodeTargetReport(feedback.Target),
+		Demands:  encodeDemands(feedback.Demands), OutstandingMicroseconds: microseconds(feedback.Outstanding),
 	}
 }
 
@@ -174,6 +175,12 @@
 	percent = 100
 	// maxLoad is the largest load that is sent or accepted; larger ones are reduced to it.
 	maxLoad = 100
+	// permille is the factor between a fraction or a number of calls and its value on the wire.
+	permille = 1000
+	// maxFeedbackDemands is the largest number of demands in one feedback.
+	maxFeedbackDemands = 16
+	// maxCalls is the largest number of calls of one run at one service that is sent or accepted.
+	maxCalls = 1000
 )
 
 func encodeLoads(loads []hemlockcall.ServiceLoad) []*hemlockwire.ServiceLoad {
@@ -184,7 +191,8 @@
 	for _, l := range loads[:min(len(loads), maxFeedbackLoads)] {
 		wire = append(wire, &hemlockwire.ServiceLoad{Service: l.Service,
 			LoadPercent:     uint32(min(max(l.Load, 0), maxLoad) * percent),
-			AgeMilliseconds: uint32(min(max(l.Age, 0), maxDuration) / time.Millisecond)})
+			AgeMilliseconds: uint32(min(max(l.Age, 0), maxDuration) / time.Millisecond),
+			RefusedPermille: uint32(min(max(l.Refused, 0), 1) * permille)})
 	}
 	return wire
 }
@@ -200,12 +208,40 @@
 			continue
 		}
 		loads = append(loads, hemlockcall.ServiceLoad{Service: l.GetService(),
-			Load: min(float64(l.GetLoadPercent())/percent, maxLoad),
-			Age:  time.Duration(l.GetAgeMilliseconds()) * time.Millisecond})
+			Load:    min(float64(l.GetLoadPercent())/percent, maxLoad),
+			Age:     time.Duration(l.GetAgeMilliseconds()) * time.Millisecond,
+			Refused: min(float64(l.GetRefusedPermille())/permille, 1)})
 	}
 	return loads
 }
 
+func encodeDemands(demands []hemlockcall.CallDemand) []*hemlockwire.CallDemand {
+	if len(demands) == 0 {
+		return nil
+	}
+	wire := make([]*hemlockwire.CallDemand, 0, len(demands))
+	for _, d := range demands[:min(len(demands), maxFeedbackDemands)] {
+		wire = append(wire, &hemlockwire.CallDemand{Service: d.Service, CallsPermille: uint32(min(max(d.Calls, 0), maxCalls) * permille)})
+	}
+	return wire
+}
+
+// decodeDemands skips demands without a call, and those whose service name is empty or too long.
+func decodeDemands(wire []*hemlockwire.CallDemand) []hemlockcall.CallDemand {
+	if len(wire) == 0 {
+		return nil
+	}
+	demands := make([]hemlockcall.CallDemand, 0, min(len(wire), maxFeedbackDemands))
+	for _, d := range wire[:min(len(wire), maxFeedbackDemands)] {
+		if d.GetService() == "" || len(d.GetService()) > maxNameLength || d.GetCallsPermille() == 0 {
+			continue
+		}
+		demands = append(demands, hemlockcall.CallDemand{Service: d.GetService(),
+			Calls: min(float64(d.GetCallsPermille())/permille, maxCalls)})
+	}
+	return demands
+}
+
 // decodeFeedback limits the unused retries to the allocation that the call carried, whatever the peer reports.
 func decodeFeedback(feedback *hemlockwire.Feedback, allocation int) (hemlockcall.Feedback, error) {
 	if feedback.GetLevel() >= uint32(hemlockcall.PriorityCount) {
@@ -218,6 +254,8 @@
 		Limit:         int(min(feedback.GetLimit(), math.MaxInt32)),
 		Loads:         decodeLoads(feedback.GetLoads()),
 		Target:        decodeTargetReport(feedback.GetTarget()),
+		Demands:       decodeDemands(feedback.GetDemands()),
+		Outstanding:   fromMicroseconds(feedback.GetOutstandingMicroseconds()),
 	}, nil
 }
 
--- a/hemlockpeer/parcel.go
+++ b/hemlockpeer/parcel.go
@@ -25,7 +25,8 @@
 		Header: []byte(call.Header), RemainingMicroseconds: microseconds(call.Remaining),
 		Priority: uint32(call.Priority), Class: call.Class, Repeatable: call.Idempotent,
 		Fingerprint: call.Fingerprint, ObjectiveMicroseconds: microseconds(call.LatencyObjective),
-		Target: encodeTargetReport(call.TargetReport),
+		Target: encodeTargetReport(call.TargetReport), Organisation: call.Organisation,
+		OrganisationRank: uint32(call.OrganisationRank),
 	}
 }
 
@@ -40,6 +41,8 @@
 		Fingerprint:      wire.GetFingerprint(),
 		LatencyObjective: fromMicroseconds(wire.GetObjectiveMicroseconds()),
 		TargetReport:     decodeTargetReport(wire.GetTarget()),
+		Organisation:     wire.GetOrganisation(),
+		OrganisationRank: uint8(min(wire.GetOrganisationRank(), math.MaxUint8)),
 	}
 }
 
