Add the directory of organisations and its place in the table of routes

Cause: Nothing holds the organisations of a configuration. Quotas need the type of an organisation and its limit before the authentication of requests is complete.

Route has the field Public.

Ruled out: Limits in a separate type beside the directory. They change with the organisations in the same configuration, so one immutable value cannot be inconsistent.

--- a/hemlockcall/relay.go
+++ b/hemlockcall/relay.go
@@ -42,7 +42,8 @@
 	Fingerprint uint64
 	// Organisation is the name of the customer that sent the call; empty for nested calls and without organisations.
 	Organisation string
-	// OrganisationRank orders organisations, before the priority of their calls; 0 is the most important.
+	// OrganisationRank orders organisations, before the priority of their calls; 0 is the most important. A call without an
+	// organisation has hemlockorganisation.DefaultRank.
 	OrganisationRank uint8
 	// TargetReport is what the entry node knows of the target that the call is sent to; without content in most calls.
 	TargetReport TargetReport
--- a/hemlockroute/route.go
+++ b/hemlockroute/route.go
@@ -1,4 +1,4 @@
-// Package hemlockroute holds the active routes, the services and the limits on clients. A route says which services
+// Package hemlockroute holds the active routes, the services, the limits on clients and the organisations. A route says which services
 // serve a request, how long that may take and whether the request may be retried. The package does no I/O.
 package hemlockroute
 
@@ -36,6 +36,8 @@
 	Priority hemlockcall.Priority
 	// MaxTargets is the maximum number of targets that one request may reach; at least 1.
 	MaxTargets int
+	// Public is set if requests need no key. It has no effect without organisations.
+	Public bool
 }
 
 // Service is the configuration of a service.
--- a/hemlockroute/table.go
+++ b/hemlockroute/table.go
@@ -4,22 +4,38 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+
+	"hemlockhollow/hemlockorganisation"
 )
 
-// Table is one version of the routes, the services and the limits on clients. It is immutable.
+// Table is one version of the routes, the services, the limits on clients and the organisations. It is immutable.
 type Table struct {
 	version  uint64
 	byHost   map[string][]*Route // longest prefix first
 	byName   map[string]*Route
 	services map[string]Service
 	limits   ClientLimits
+	// organisations is nil if there are none.
+	organisations *hemlockorganisation.Directory
+}
+
+// Option configures a Table.
+type Option func(*Table)
+
+// WithOrganisations sets the organisations. The default is none.
+func WithOrganisations(organisations *hemlockorganisation.Directory) Option {
+	return func(t *Table) { t.organisations = organisations }
 }
 
 // NewTable returns a table of the given version. The caller must not change the routes and the services afterwards. Of
 // two routes with the same host and prefix, Match returns the earlier one.
-func NewTable(version uint64, routes []Route, services map[string]Service, limits ClientLimits) *Table {
+func NewTable(version uint64, routes []Route, services map[string]Service, limits ClientLimits,
+	options ...Option) *Table {
 	t := &Table{version: version, byHost: map[string][]*Route{}, byName: map[string]*Route{}, services: services,
 		limits: limits}
+	for _, o := range options {
+		o(t)
+	}
 	for i := range routes {
 		r := &routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
@@ -37,6 +53,9 @@
 // Limits returns the limits on clients.
 func (t *Table) Limits() ClientLimits { return t.limits }
 
+// Organisations returns the organisations. If there are none, the result may be nil, and its methods can be called all the same.
+func (t *Table) Organisations() *hemlockorganisation.Directory { return t.organisations }
+
 // Service returns the configuration of a service, and false if the table has no service of this name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
