--- a/hemlockorganisation/directory.go
+++ b/hemlockorganisation/directory.go
@@ -58,9 +58,10 @@
 			if key == "" {
 				return nil, hemlockerror.New(operation, KindKey, "a key of "+o.Name+" is empty")
 			}
-			owner, exists := d.find(key)
+			keyDigest := digestOf(key)
+			owner, exists := d.find(keyDigest)
 			if !exists {
-				d.add(key, i)
+				d.add(keyDigest, i)
 				continue
 			}
 			if owner != i {
@@ -72,15 +73,13 @@
 	return d, nil
 }
 
-func (d *Directory) add(key string, organisation int) {
-	keyDigest := digestOf(key)
+func (d *Directory) add(keyDigest digest, organisation int) {
 	d.byDigest[keyDigest.index()] = append(d.byDigest[keyDigest.index()], digestedKey{keyDigest, organisation})
 	d.keyCount++
 }
 
-// find returns the index of the organisation that has a key.
-func (d *Directory) find(key string) (int, bool) {
-	keyDigest := digestOf(key)
+// find returns the index of the organisation that has the key with a digest.
+func (d *Directory) find(keyDigest digest) (int, bool) {
 	for _, k := range d.byDigest[keyDigest.index()] {
 		if subtle.ConstantTimeCompare(k.digest[:], keyDigest[:]) == 1 {
 			return k.organisation, true
@@ -113,7 +112,7 @@
 	if d.IsEmpty() {
 		return Organisation{}, false
 	}
-	i, ok := d.find(key)
+	i, ok := d.find(digestOf(key))
 	if !ok {
 		return Organisation{}, false
 	}
--- a/hemlockpeer/parcel.go
+++ b/hemlockpeer/parcel.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockorganisation"
 	"hemlockhollow/hemlockpeer/hemlockwire"
 )
 
@@ -31,6 +32,10 @@
 }
 
 func decodeRelayRequest(wire *hemlockwire.RelayRequest) *hemlockcall.RelayRequest {
+	rank := uint8(min(wire.GetOrganisationRank(), math.MaxUint8))
+	if wire.GetOrganisation() == "" && rank == 0 {
+		rank = hemlockorganisation.DefaultRank // from a node of an older version, which sends no rank
+	}
 	return &hemlockcall.RelayRequest{
 		ID: string(wire.GetId()), Service: wire.GetService(), CallingService: wire.GetOrigin(), Method: string(wire.GetMethod()),
 		Host: string(wire.GetHost()), Path: string(wire.GetPath()), Header: hemlockcall.HeaderLines(wire.GetHeader()),
@@ -42,7 +47,7 @@
 		LatencyObjective: fromMicroseconds(wire.GetObjectiveMicroseconds()),
 		TargetReport:     decodeTargetReport(wire.GetTarget()),
 		Organisation:     wire.GetOrganisation(),
-		OrganisationRank: uint8(min(wire.GetOrganisationRank(), math.MaxUint8)),
+		OrganisationRank: rank,
 	}
 }
 
