--- a/hemlockpeer/relay_test.go
+++ b/hemlockpeer/relay_test.go
@@ -348,3 +348,12 @@
 	c.once.Do(func() { close(c.closed) })
 	return c.Conn.Close()
 }
+
+// Guards against calls of nodes of an older version, which send no rank, that go before those of most organisations.
+func TestCallWithoutAnOrganisationHasTheDefaultRank(t *testing.T) {
+	for call, want := range map[*hemlockcall.RelayRequest]uint8{{}: 1, {Organisation: "o"}: 0, {OrganisationRank: 3}: 3} {
+		if got := decodeRelayRequest(encodeRelayRequest(call)); got.OrganisationRank != want || got.Organisation != call.Organisation {
+			t.Errorf("rank %d of organisation %q, want %d of %q", got.OrganisationRank, got.Organisation, want, call.Organisation)
+		}
+	}
+}
