Add the decision on quotas of organisations over all nodes

Cause: an organisation has a rate and a burst for all hosts together, and nothing counts its requests.

Change: package hemlockquota, without I/O. Each of N nodes owns 1/N of every quota and lends it under a lease to a pool of its zone, which grants tokens by demand; zone pools lend what they do not need to pools of all zones. Type loans states what a lender may not use itself, Pool.Receive what a pool counts.

Ruled out: a loan for each organisation at level 0 (messages would grow with their number); one pool per organisation over all nodes (each request would leave the zone).

--- /dev/null
+++ b/hemlockquota/message.go
@@ -0,0 +1,67 @@
+package hemlockquota
+
+import "time"
+
+// Request asks a pool for tokens and renews what the sender has lent to it.
+type Request struct {
+	// From is the address of the sender.
+	From string
+	// Level is 0 for a pool of a zone and 1 for a pool of all zones.
+	Level int
+	// Partition and Partitions state for which organisations the sender lends Lent.
+	Partition, Partitions int
+	// Clock is a lower bound of the pool's clock when the request was sent, from the clock of its last answer; 0 before the first one. With
+	// it a pool recognises requests that were delayed, without clocks that agree.
+	Clock uint64
+	// Lent is what the sender lends of the quota of every organisation of the partition. 0 leaves an earlier loan until its end.
+	Lent Fraction
+	// Lease is how long the loan lasts after the receipt.
+	Lease time.Duration
+	// Population is the number of nodes that share the quotas, as the sender knows it; 0 if its view is not settled.
+	Population int
+	// Reclaimed is set if the sender takes back what it has lent.
+	Reclaimed bool
+	Demands   []Demand
+}
+
+// Demand is the part of a Request about one organisation.
+type Demand struct {
+	Organisation string
+	Wanted       int
+	// Returned tokens were granted earlier and not used.
+	Returned int
+	// Lent is what the sender lends of the quota of this organisation, at level 1 only. The loan of an organisation that a request of level
+	// 1 does not mention ends.
+	Lent Fraction
+}
+
+// Answer is the answer of a pool.
+type Answer struct {
+	// Accepted is set if the pool counts what the request lends. Otherwise it has ignored the whole request.
+	Accepted bool
+	// Population is the number of nodes that share the quotas, as the pool knows it; 0 if its view is not settled.
+	Population int
+	// Clock is the pool's clock in microseconds.
+	Clock  uint64
+	Grants []Grant
+}
+
+// Grant is the part of an Answer about one organisation. There is none for organisations that the pool does not know.
+type Grant struct {
+	Organisation string
+	Granted      int
+	// Wait is the time until there is a token if fewer were granted than wanted.
+	Wait time.Duration
+}
+
+// Message is a request that is to be sent. The sender reports its result with Answered or Failed.
+type Message struct {
+	Address string
+	Request Request
+
+	slot     *slot
+	sequence uint64
+	sentAt   time.Time
+	// lends is set if the request may make the pool count a loan.
+	lends bool
+}
--- /dev/null
+++ b/hemlockquota/surplus.go
@@ -0,0 +1,121 @@
+package hemlockquota
+
+import "time"
+
+// A pool of a zone is a lender: to the pools of all zones it lends what exceeds the recent demand of its zone, for each organisation. The
+// loans of other organisations do not matter, so that lent and own fractions are counted by organisation.
+
+// firm returns the sums of the loans that last until a loan to the next level that is sent now has ended.
+func (p *Pool) firm(now time.Time) map[partition]Fraction {
+	needed := now.Add(levels[1].lease + levels[1].timeout)
+	sums := map[partition]Fraction{}
+	if now.Before(p.started.Add(levels[0].release)) {
+		return sums
+	}
+	for key, l := range p.loans {
+		if !l.reclaimed && !l.until.Before(needed) {
+			sums[key.partition] += l.fraction
+		}
+	}
+	return sums
+}
+
+// surplus returns the part of the firm fraction that the recent demand does not need, in steps.
+func (a *poolAccount) surplus(now time.Time, firm Fraction) Fraction {
+	needed := Of(demandMargin * a.demand.current(now, demandTime) / a.limit.PerSecond)
+	step := firm / lentSteps
+	if needed < step/2 {
+		needed = 0 // the last requests were seconds ago
+	}
+	surplus := firm.minus(needed)
+	if step == 0 {
+		return 0
+	}
+	return surplus / step * step
+}
+
+func (p *Pool) lend(now time.Time, m *Message) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.expire(now)
+	sums := p.firm(now)
+	for _, a := range p.accounts {
+		if !m.slot.partition.contains(a.hash) {
+			continue
+		}
+		var firm Fraction
+		for of, fraction := range sums {
+			if of.contains(a.hash) {
+				firm += fraction
+			}
+		}
+		surplus := a.surplus(now, min(firm, One))
+		if lent := a.lentOn.available(now, surplus, m.Address); lent > 0 {
+			m.lends = true
+			m.demand(a.name).Lent = lent
+			a.lentOn.lend(now, m.Address, m.sequence, lent, levels[1])
+		}
+		p.settle(now, a)
+	}
+}
+
+// demand returns the part of the message about an organisation.
+func (m *Message) demand(organisation string) *Demand {
+	for i := range m.Request.Demands {
+		if d := &m.Request.Demands[i]; d.Organisation == organisation {
+			return d
+		}
+	}
+	m.Request.Demands = append(m.Request.Demands, Demand{Organisation: organisation})
+	return &m.Request.Demands[len(m.Request.Demands)-1]
+}
+
+func (p *Pool) accepted(now time.Time, m *Message) {
+	p.forSlot(now, m.slot, func(a *poolAccount) { a.lentOn.accepted(m.Address, m.sequence) })
+}
+
+func (p *Pool) withdraw(now time.Time, m *Message) {
+	p.forSlot(now, m.slot, func(a *poolAccount) { a.lentOn.withdraw(m.sequence) })
+}
+
+func (p *Pool) end(now time.Time, s *slot, pool string, at time.Time) {
+	p.forSlot(now, s, func(a *poolAccount) { a.lentOn.end(pool, at, false) })
+}
+
+func (p *Pool) processEnded(now time.Time, pool string, at time.Time) {
+	p.forSlot(now, nil, func(a *poolAccount) { a.lentOn.end(pool, at, true) })
+}
+
+// forSlot calls a function with the organisations of a slot, or all, and applies the change to their buckets.
+func (p *Pool) forSlot(now time.Time, s *slot, change func(*poolAccount)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.expire(now)
+	for _, a := range p.accounts {
+		if s == nil || s.partition.contains(a.hash) {
+			p.settle(now, a)
+			change(a)
+			p.settle(now, a)
+		}
+	}
+}
+
+func (p *Pool) lentTo(now time.Time, s *slot, pool string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, a := range p.accounts {
+		if s.partition.contains(a.hash) && a.lentOn.lentTo(now, pool) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// own returns 0: a pool uses its own share by granting it.
+func (p *Pool) own(time.Time, *slot) Fraction { return 0 }
+
+func (p *Pool) wantsToLend() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.sums) > 0
+}
