--- a/hemlockpeer/option.go
+++ b/hemlockpeer/option.go
@@ -20,6 +20,7 @@
 	gossipHandler        func(context.Context, GossipMessage) (GossipMessage, error)
 	configurationHandler func(context.Context, ConfigurationQuery) (ConfigurationResponse, error)
 	claimHandler         func(context.Context, []ClaimChange) ([]bool, error)
+	quotaHandler         QuotaHandler
 
 	relayer hemlockcall.Relayer
 	// memory limits the bodies of the calls of Carry streams.
--- a/hemlockpeer/service.go
+++ b/hemlockpeer/service.go
@@ -64,11 +64,6 @@
 	return &hemlockwire.ClaimResults{Applied: applied}, nil
 }
 
-// RequestQuota implements hemlockwire.DRPCNodeServer.
-func (s *service) RequestQuota(context.Context, *hemlockwire.QuotaRequest) (*hemlockwire.QuotaAnswer, error) {
-	return nil, notServed("request quota")
-}
-
 // Call implements hemlockwire.DRPCNodeServer.
 func (s *service) Call(stream hemlockwire.DRPCNode_CallStream) error {
 	call := &servedCall{server: s.server, stream: stream}
