--- a/hemlockquota/invariant_test.go
+++ b/hemlockquota/invariant_test.go
@@ -50,7 +50,9 @@
 					lent.accepted(m.Address, m.sequence)
 				}
 			},
-			"wait": func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond) },
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+			},
 			"": func(t *rapid.T) {
 				sum := One.minus(lent.total(now))
 				for _, p := range pools {
