--- a/hemlockquota/ledger.go
+++ b/hemlockquota/ledger.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// settleTime is how long after its start a node's view counts as settled, unless a pool has reported a population.
-	settleTime = 2 * time.Second
+	// SettleTime is how long after its start a node's view counts as settled, unless a pool has reported a population.
+	SettleTime = 2 * time.Second
 	// populationTime is how long a population that a pool has reported counts.
 	populationTime = 2 * time.Second
 	// repartitionDelay is how long another number of pools must be due before the organisations are divided among them: a division ends
@@ -43,7 +43,8 @@
 	unavailableCount     uint64
 }
 
-// Change is a change of the pool of a partition; From or To is empty if there was or is none.
+// Change is a change of the pool of a partition; From or To is empty if there was or is none. If they are equal, the pool has not
+// answered a request.
 type Change struct {
 	From, To  string
 	Partition int
@@ -166,7 +167,7 @@
 
 // settledPopulation returns the number of nodes that share the quotas, or 0 if it is not known well enough.
 func (l *Ledger) settledPopulation(now time.Time) int {
-	if now.Sub(l.started) < settleTime {
+	if now.Sub(l.started) < SettleTime {
 		return 0
 	}
 	return l.population
@@ -175,7 +176,7 @@
 // fraction returns the fraction of every quota that this host owns.
 func (l *Ledger) fraction(now time.Time) Fraction {
 	age := now.Sub(l.started)
-	settled := age >= settleTime
+	settled := age >= SettleTime
 	// What a previous process at this address has lent may count for another lease and timeout.
 	if l.stopping || !settled && l.reported == 0 || age < levels[0].lease+levels[0].timeout {
 		return 0
--- a/hemlockquota/message.go
+++ b/hemlockquota/message.go
@@ -24,6 +24,9 @@
 	Demands   []Demand
 }
 
+// maxDemands bounds the organisations in one request; further ones wait for the next.
+const maxDemands = 4096
+
 // Demand is the part of a Request about one organisation.
 type Demand struct {
 	Organisation string
--- a/hemlockquota/result.go
+++ b/hemlockquota/result.go
@@ -108,6 +108,9 @@
 		l.askAgain(m)
 		return
 	}
+	if !p.silent {
+		l.change(Change{From: m.Address, To: m.Address, Partition: s.partition.index})
+	}
 	p.silent = true
 	if l.lender.lentTo(now, s, m.Address) {
 		l.refuseWaiting(s)
--- a/hemlockquota/slot.go
+++ b/hemlockquota/slot.go
@@ -165,7 +165,14 @@
 // addDemands adds what the message asks for and returns.
 func (l *Ledger) addDemands(now time.Time, m *Message) {
 	s, t := m.slot, l.terms()
+	s.asking = s.asking[:0]
 	for _, a := range s.accounts {
+		if len(m.Request.Demands) >= maxDemands {
+			if a.asking {
+				s.asking = append(s.asking, a)
+			}
+			continue
+		}
 		stock := a.stockCount(now, t.hold)
 		d := Demand{Organisation: a.name, Returned: a.returned}
 		if a.asking {
@@ -180,7 +187,6 @@
 			m.Request.Demands = append(m.Request.Demands, d)
 		}
 	}
-	s.asking = s.asking[:0]
 }
 
 // ask lets the next message of the slot ask for tokens for the account.
--- a/hemlockquota/surplus.go
+++ b/hemlockquota/surplus.go
@@ -40,7 +40,7 @@
 	p.expire(now)
 	sums := p.firm(now)
 	for _, a := range p.accounts {
-		if !m.slot.partition.contains(a.hash) {
+		if !m.slot.partition.contains(a.hash) || len(m.Request.Demands) >= 2*maxDemands-1 {
 			continue
 		}
 		var firm Fraction
@@ -114,6 +114,9 @@
 // own returns 0: a pool uses its own share by granting it.
 func (p *Pool) own(time.Time, *slot) Fraction { return 0 }
 
+// HasLoans reports whether the node is a pool that counts loans for all organisations of a partition.
+func (p *Pool) HasLoans() bool { return p.wantsToLend() }
+
 func (p *Pool) wantsToLend() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/hemlockquota/ticket.go
+++ b/hemlockquota/ticket.go
@@ -38,6 +38,16 @@
 // Done returns a channel that is closed when the ticket has its results.
 func (t *Ticket) Done() <-chan struct{} { return t.done }
 
+// IsPending reports whether the ticket still waits for the answer of a pool.
+func (t *Ticket) IsPending() bool {
+	select {
+	case <-t.done:
+		return false
+	default:
+		return true
+	}
+}
+
 func (t *Ticket) resolve(outcome Outcome, tokens int, wait time.Duration) {
 	if t.Outcome == Pending {
 		t.Outcome, t.Tokens, t.Wait = outcome, tokens, wait
