Keep the burst of an organisation when its demand begins or moves

Cause: fractions that move between pools bring no tokens, so an idle organisation, whose fractions are lent to a pool of all zones, lost its burst when its demand began: 29 of 150 requests were refused with a burst of 36 in store, and tokens of requests that had not run were dropped at pools whose demand was counted without them (83 of 149). A pool that had just taken over answered 429 although it counted no loan yet.

Change: a zone pool that takes a fraction back asks for the tokens that belong to it, and returns those that no longer fit when it lends more; the pool of all zones grants before it drops the fraction. Returned tokens no longer reduce the measured demand. A zone pool without any loan answers nothing instead of "no token", so that the host refuses with 503.

Result: TestRequestsThatDoNotRunCostNoTokens and TestPoolThatFails failed before (66 and 121 of 150 granted; 13 refused as exhausted while 25 were granted in the first second) and pass.

Ruled out by trials with 81 nodes and 83 organisations (1,278 requests a second at 0.6 to 0.9 of the quotas, 127 of 11,532 refused): lending less while the level is low (154), 4 steps instead of 8 (120), a margin of 1.7 (134), asking again after 2 ms (144): no difference beyond chance. The rest is tokens that are divided among three zones while the burst is one second of the rate.

--- a/hemlockquota/lender.go
+++ b/hemlockquota/lender.go
@@ -18,6 +18,8 @@
 	lentTo(now time.Time, s *slot, pool string) bool
 	// own returns the fraction that the lender may use itself.
 	own(now time.Time, s *slot) Fraction
+	// deposit keeps tokens that came with a fraction that was taken back.
+	deposit(now time.Time, organisation string, tokens int)
 	// wantsToLend reports whether there is something to lend.
 	wantsToLend() bool
 }
@@ -101,5 +103,8 @@
 	return h.remaining(now).minus(h.of(s).total(now))
 }
 
+// deposit does nothing: the fraction of a host changes only with the population.
+func (h *hostLender) deposit(time.Time, string, int) {}
+
 // wantsToLend is also true without a fraction: the pool may report the population, on which it depends.
 func (h *hostLender) wantsToLend() bool { return true }
--- a/hemlockquota/message.go
+++ b/hemlockquota/message.go
@@ -49,6 +49,22 @@
 	Grants []Grant
 }
 
+// Add adds the result of a ticket that asked for missing tokens of an organisation.
+func (a *Answer) Add(organisation string, t *Ticket) {
+	for i := range a.Grants {
+		if g := &a.Grants[i]; g.Organisation == organisation {
+			g.Granted += t.Tokens
+			if t.Outcome != Unavailable {
+				g.Wait = min(g.Wait, t.Wait)
+			}
+			return
+		}
+	}
+	if t.Tokens > 0 {
+		a.Grants = append(a.Grants, Grant{Organisation: organisation, Granted: t.Tokens, Wait: t.Wait})
+	}
+}
+
 // Grant is the part of an Answer about one organisation. There is none for organisations that the pool does not know.
 type Grant struct {
 	Organisation string
@@ -67,4 +83,6 @@
 	sentAt   time.Time
 	// lends is set if the request may make the pool count a loan.
 	lends bool
+	// transfers are the wanted tokens that go with fractions that the sender takes back, by organisation.
+	transfers map[string]int
 }
--- a/hemlockquota/pool.go
+++ b/hemlockquota/pool.go
@@ -118,8 +118,8 @@
 	return p.clockBase + uint64(max(0, now.Sub(p.started).Microseconds()))
 }
 
-// Receive handles a request. It returns the answer and, for a pool of a zone, the tokens that are missing in it: the caller may get them
-// from the pool of all zones and add them to the grants.
+// Receive handles a request. It returns the answer and, for a pool of a zone, the tokens that are missing in it: the caller may take them
+// from the ledger towards the pools of all zones, and add the tickets to the answer.
 func (p *Pool) Receive(now time.Time, r Request) (Answer, []Demand) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -135,7 +135,9 @@
 	if p.level == 0 {
 		p.receivePartition(now, r, t)
 	} else {
-		p.receiveOrganisations(now, r, t)
+		p.receiveOrganisations(now, r, t, func(former, fraction Fraction) bool { return fraction >= former })
+		// Tokens that are asked for with a fraction that is taken back are granted before.
+		defer p.receiveOrganisations(now, r, t, func(former, fraction Fraction) bool { return fraction < former })
 	}
 	var missing []Demand
 	for _, d := range r.Demands {
@@ -144,7 +146,10 @@
 			continue
 		}
 		grant := p.grant(now, a, d)
-		answer.Grants = append(answer.Grants, grant)
+		// While a pool of a zone counts no loan, such as after the end of its predecessor, it cannot say that the quota is exceeded.
+		if grant.Granted > 0 || p.level > 0 || a.bucket.share+a.lentOn.total(now) > 0 {
+			answer.Grants = append(answer.Grants, grant)
+		}
 		if grant.Granted < d.Wanted {
 			missing = append(missing, Demand{Organisation: d.Organisation, Wanted: d.Wanted - grant.Granted})
 		}
@@ -177,7 +182,8 @@
 	}
 }
 
-func (p *Pool) receiveOrganisations(now time.Time, r Request, t terms) {
+// receiveOrganisations applies the loans of a request of level 1 for which the function returns true.
+func (p *Pool) receiveOrganisations(now time.Time, r Request, t terms, applies func(former, fraction Fraction) bool) {
 	lent := map[string]Fraction{}
 	if !r.Reclaimed {
 		for _, d := range r.Demands {
@@ -189,19 +195,22 @@
 		if !mentioned.contains(a.hash) {
 			continue
 		}
-		l, fraction := a.loans[r.From], lent[name]
+		l, fraction, former := a.loans[r.From], lent[name], Fraction(0)
+		if l != nil {
+			former = l.fraction
+		}
 		switch {
-		case fraction == 0 && l == nil, l == nil && len(a.loans) >= maxLoans:
+		case !applies(former, fraction), fraction == 0 && l == nil, l == nil && len(a.loans) >= maxLoans:
 			continue
 		case fraction == 0:
 			delete(a.loans, r.From)
-			a.sum -= l.fraction
+			a.sum -= former
 		default:
 			if l == nil {
 				l = &received{}
 				a.loans[r.From] = l
 			}
-			a.sum = a.sum - l.fraction + fraction
+			a.sum = a.sum - former + fraction
 			*l = received{fraction: fraction, until: now.Add(min(r.Lease, t.lease))}
 			p.nextEnd = minTime(p.nextEnd, l.until)
 		}
@@ -211,14 +220,18 @@
 
 func (p *Pool) grant(now time.Time, a *poolAccount, d Demand) Grant {
 	p.settle(now, a)
-	a.demand.add(now, float64(d.Wanted-d.Returned), demandTime)
+	// Returned tokens of requests that did not run were demand, and the returned part of advance supplies is small.
+	a.demand.add(now, float64(d.Wanted), demandTime)
 	a.bucket.put(d.Returned)
 	p.counts.Returned += uint64(d.Returned)
 	g := Grant{Organisation: d.Organisation, Granted: a.bucket.take(d.Wanted)}
 	p.counts.Granted += uint64(g.Granted)
 	if refused := d.Wanted - g.Granted; refused > 0 {
 		p.counts.Refused += uint64(refused)
-		due := maxTime(now.Add(a.bucket.wait()), a.promised)
+		due := now.Add(a.bucket.wait())
+		if p.level == 0 { // a pool of zones is also asked for tokens that no request waits for
+			due = maxTime(due, a.promised)
+		}
 		g.Wait = min(due.Sub(now), maxWait)
 		a.promised = minTime(due.Add(time.Duration(min(refused, 1000))*a.bucket.interval()), now.Add(maxWait))
 	}
--- a/hemlockquota/property_test.go
+++ b/hemlockquota/property_test.go
@@ -68,6 +68,8 @@
 	case 7:
 		s.rank(n, rapid.IntRange(1, 3).Draw(t, "partitions"), rapid.IntRange(0, 5).Draw(t, "shift"))
 	case 8:
+		n.host.Stop()
+	case 9:
 		name := rapid.SampledFrom([]string{"large", "small"}).Draw(t, "organisation")
 		l := Limit{rapid.Float64Range(1, 300).Draw(t, "rate"), rapid.Float64Range(0, 300).Draw(t, "burst")}
 		changed := map[string]Limit{}
--- a/hemlockquota/result.go
+++ b/hemlockquota/result.go
@@ -62,7 +62,7 @@
 		a.returned = min(a.returned+tokens, maxWanted)
 		tokens, known = 0, false
 	}
-	if known && g.Granted < d.Wanted {
+	if known && g.Granted < d.Wanted-m.transfers[a.name] {
 		a.roomAt = now.Add(g.Wait)
 		a.deniedUntil = now.Add(min(g.Wait, maxDenial))
 	}
@@ -86,6 +86,10 @@
 		}
 	}
 	a.waiting = later
+	if n := min(tokens, m.transfers[a.name]); n > 0 {
+		tokens -= n
+		l.lender.deposit(now, a.name, n)
+	}
 	if tokens > 0 {
 		a.stock = append(a.stock, stocked{count: tokens, since: m.sentAt, pool: m.Address})
 	}
--- a/hemlockquota/simulation_test.go
+++ b/hemlockquota/simulation_test.go
@@ -243,12 +243,7 @@
 	}
 	for _, d := range missing {
 		s.take(n, n.upper, d.Organisation, d.Wanted, 50*time.Millisecond, func(t *Ticket) {
-			for i := range a.Grants {
-				if g := &a.Grants[i]; g.Organisation == d.Organisation {
-					g.Granted += t.Tokens
-					g.Wait = min(g.Wait, t.Wait)
-				}
-			}
+			a.Add(d.Organisation, t)
 			if open--; open == 0 {
 				answer(a)
 			}
--- a/hemlockquota/surplus.go
+++ b/hemlockquota/surplus.go
@@ -49,13 +49,41 @@
 				firm += fraction
 			}
 		}
-		surplus := a.surplus(now, min(firm, One))
-		if lent := a.lentOn.available(now, surplus, m.Address); lent > 0 {
-			m.lends = true
-			m.demand(a.name).Lent = lent
-			a.lentOn.lend(now, m.Address, m.sequence, lent, levels[1])
+		p.settle(now, a)
+		p.lendSurplus(now, m, a, a.surplus(now, min(firm, One)))
+	}
+}
+
+// lendSurplus lends the surplus of one organisation. Tokens that no longer fit into the bucket go with the fraction, and those that fit
+// again are asked for when a part of it is taken back: a burst would be lost otherwise whenever demand begins, moves or ends.
+func (p *Pool) lendSurplus(now time.Time, m *Message, a *poolAccount, surplus Fraction) {
+	before, level := a.lentOn.lentTo(now, m.Address), a.bucket.level
+	lent := a.lentOn.available(now, surplus, m.Address)
+	if lent > 0 {
+		m.lends = true
+		m.demand(a.name).Lent = lent
+		a.lentOn.lend(now, m.Address, m.sequence, lent, levels[1])
+		p.settle(now, a)
+		if dropped := int(level - a.bucket.level); dropped > 0 {
+			m.demand(a.name).Returned += min(dropped, maxWanted)
+		}
+	}
+	if tokens := int(before.minus(lent).Value()*a.limit.Burst + 0.5); tokens > 0 {
+		if m.transfers == nil {
+			m.transfers = map[string]int{}
 		}
+		m.transfers[a.name] = min(tokens, maxWanted)
+		m.demand(a.name).Wanted += m.transfers[a.name]
+	}
+}
+
+func (p *Pool) deposit(now time.Time, organisation string, tokens int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.expire(now)
+	if a := p.accounts[organisation]; a != nil {
 		p.settle(now, a)
+		a.bucket.put(tokens)
 	}
 }
 
