Reset the connection of a test only after it is open

Cause: TestOnlyARefusedConnectionEndsALoan failed once in a run of all tests ("dial tcp: connection reset by peer"): the stand-in reset the connection before the client had opened it, which rightly counts as unsent.

Change: the stand-in reads a byte before it resets the connection. The assertions are the same.

--- a/hemlockpeer/quota_test.go
+++ b/hemlockpeer/quota_test.go
@@ -47,6 +47,7 @@
 			if err != nil {
 				return
 			}
+			_, _ = connection.Read(make([]byte, 1)) // a connection may be reset before it is open otherwise
 			_ = connection.(*net.TCPConn).SetLinger(0)
 			_ = connection.Close() // resets the connection
 		}
