--- a/hemlockquota/pool.go
+++ b/hemlockquota/pool.go
@@ -150,7 +150,7 @@
 		if grant.Granted > 0 || p.level > 0 || a.bucket.share+a.lentOn.total(now) > 0 {
 			answer.Grants = append(answer.Grants, grant)
 		}
-		if grant.Granted < d.Wanted {
+		if grant.Granted < d.Wanted && p.level == 0 {
 			missing = append(missing, Demand{Organisation: d.Organisation, Wanted: d.Wanted - grant.Granted})
 		}
 	}
