Measure Offer and Finish of a full admission queue

Change: BenchmarkOfferFinish has a third load, where two requests are offered for each that finishes, so that the queue stays full.

--- a/hemlockadmission/benchmark_test.go
+++ b/hemlockadmission/benchmark_test.go
@@ -1,7 +1,6 @@
 package hemlockadmission
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -9,8 +8,12 @@
 )
 
 func BenchmarkOfferFinish(b *testing.B) {
-	for _, queued := range []int{0, 100} {
-		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
+	for _, load := range []struct {
+		name   string
+		queued int
+		offers int // for each request that finishes; with 2 the queue of 200 stays full
+	}{{"queued=0", 0, 1}, {"queued=100", 100, 1}, {"full", 200, 2}} {
+		b.Run(load.name, func(b *testing.B) {
 			var running []*Ticket[int]
 			c := New(100, func(k *Ticket[int]) {
 				if k.Admitted() {
@@ -24,13 +27,15 @@
 					running = append(running, k)
 				}
 			}
-			for len(running) < 50 || c.Snapshot(now).Queued < queued {
+			for len(running) < 50 || c.Snapshot(now).Queued < load.queued {
 				offer()
 			}
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(50 * time.Microsecond)
-				offer()
+				for range load.offers {
+					offer()
+				}
 				k := running[0]
 				running = append(running[:0], running[1:]...)
 				c.Finish(now, k, Outcome{Result: Completed, ServiceTime: time.Millisecond})
