Share the queue of a gate between organisations

Cause: the queue of a gate does not know organisations. One that sends six times its usual load takes the slots and the queue places of all others in proportion to its load.

Change: where calls name an organisation, the service order is organisation rank, priority, depth, rank, slot time that the organisation has recently received, objective. Each organisation has a queue of its own and an account of slot time that decays with 2 s; a heap of organisations finds the first and the last one. When the last one is searched for, queued requests count like received slot time, so that an organisation that fills the queue loses its own requests. An organisation that is served less than a quarter as often as all gets some requests before all others. Calls without an organisation have the rank 1 and are not held back. The gate passes the organisation and its rank to the queue.

Ruled out: start tags that are fixed on arrival (start-time fair queueing): they put the requests of one organisation into the order of arrival instead of that of objectives, and run ahead when requests are dropped from a full queue.

--- a/hemlockadmission/controller.go
+++ b/hemlockadmission/controller.go
@@ -20,8 +20,9 @@
 	rate            rateLimiter
 	inFlight        int // admitted and not finished; above the limit only after the limit has decreased
 	runningSuspects int // admitted suspects; at most 1
-	regularQueue    *queue[T]
-	suspectQueue    *queue[T]                            // separate, so that a suspect that has to wait does not block other requests
+	regularQueue    *fairQueue[T]
+	suspectQueue    *fairQueue[T] // separate, so that a suspect that has to wait does not block other requests
+	accounts        accounts[T]
 	holdUntil       [hemlockcall.PriorityCount]time.Time // by priority: lower priorities are refused until then
 	classes         map[string]*class                    // at most maxClasses
 	sequence        uint64
@@ -61,7 +62,8 @@
 		apply(&c.settings)
 	}
 	o := serviceOrder{priority: !c.settings.disabled[PriorityOrder], depth: !c.settings.disabled[DepthOrder]}
-	c.regularQueue, c.suspectQueue = newQueue[T](o), newQueue[T](o)
+	c.regularQueue, c.suspectQueue = newFairQueue[T](o, regularFlow), newFairQueue[T](o, suspectFlow)
+	c.accounts = newAccounts[T](o, !c.settings.disabled[OrganisationOrder])
 	c.limit.fixed = c.settings.disabled[AdaptiveLimit]
 	c.limit.value = float64(slots)
 	c.limit.setSlots(slots, c.settings.slowStart && !c.settings.disabled[SlowStart])
@@ -74,6 +76,7 @@
 	c.locked(func(decided *[]*Ticket[T]) {
 		c.sequence++
 		t.sequence = c.sequence
+		c.accounts.open(now, t)
 		switch {
 		case c.limit.slots == 0:
 			c.refuse(t, hemlockcall.ReasonUnavailable, "the target is not available")
@@ -82,10 +85,9 @@
 			c.refuse(t, hemlockcall.ReasonDeadline, "the remaining time is too short for the request to complete")
 		case attributes.Priority < c.minPriority(now) || !c.settings.disabled[NestedPacing] && !c.classOf(attributes.Class).allow(now):
 			c.refuseForLoad(now, t, decided)
-		case c.hasSlotFor(t) && c.next() == nil && c.rate.allows(now):
-			c.admit(t)
 		default:
-			c.enqueue(now, t, decided)
+			c.accounts.recordOffer(t)
+			c.place(now, t, decided)
 		}
 	})
 	return t
@@ -115,6 +117,8 @@
 			if t.Attributes.Suspect {
 				c.runningSuspects--
 			}
+			c.accounts.finish(now, t, o.ServiceTime)
+			c.fix(t.account)
 			c.admitQueued(now, decided)
 		}
 	})
@@ -125,7 +129,7 @@
 func (c *Controller[T]) Cancel(now time.Time, t *Ticket[T]) {
 	c.locked(func(decided *[]*Ticket[T]) {
 		if t.state == stateQueued {
-			c.queueOf(t).remove(t)
+			c.dequeue(now, t)
 			c.counters.Cancelled++
 			c.refuse(t, hemlockcall.ReasonCancelled, "the caller cancelled the request")
 			*decided = append(*decided, t)
@@ -154,7 +158,7 @@
 		c.limit.setSlots(slots, slowStart)
 		if slots == 0 {
 			for t := c.last(); t != nil; t = c.last() {
-				c.queueOf(t).remove(t)
+				c.dequeue(now, t)
 				c.refuse(t, hemlockcall.ReasonUnavailable, "the target is no longer available")
 				*decided = append(*decided, t)
 			}
--- a/hemlockadmission/decision.go
+++ b/hemlockadmission/decision.go
@@ -29,12 +29,12 @@
 func (c *Controller[T]) trimQueue(now time.Time, decided *[]*Ticket[T]) {
 	for c.queued() > c.maxQueued(now) {
 		last := c.last()
-		c.queueOf(last).remove(last)
+		c.dequeue(now, last)
 		c.refuseForLoad(now, last, decided)
 	}
 }
 
-func (c *Controller[T]) queueOf(t *Ticket[T]) *queue[T] {
+func (c *Controller[T]) queueOf(t *Ticket[T]) *fairQueue[T] {
 	if t.Attributes.Suspect {
 		return c.suspectQueue
 	}
@@ -42,7 +42,21 @@
 }
 
 func (c *Controller[T]) order() serviceOrder {
-	return c.regularQueue.bestFirst.serviceOrder
+	return c.regularQueue.serviceOrder
+}
+
+// dequeue removes a ticket from its queue.
+func (c *Controller[T]) dequeue(now time.Time, t *Ticket[T]) {
+	c.queueOf(t).remove(now, t)
+	c.fix(t.account)
+}
+
+// fix restores the order of the queues after the levels of an account have changed.
+func (c *Controller[T]) fix(a *account[T]) {
+	if a != nil && a.queued > 0 {
+		c.regularQueue.fix(a)
+		c.suspectQueue.fix(a)
+	}
 }
 
 // next returns the queued ticket that runs next, or nil. Suspects are left out while another suspect is running.
@@ -59,7 +73,7 @@
 // last returns the queued ticket that would run last, or nil.
 func (c *Controller[T]) last() *Ticket[T] {
 	last, suspect := c.regularQueue.last(), c.suspectQueue.last()
-	if last == nil || suspect != nil && last.ranksBefore(suspect, c.order()) {
+	if last == nil || suspect != nil && last.ranksBefore(suspect, c.order().forLast()) {
 		return suspect
 	}
 	return last
@@ -93,7 +107,7 @@
 	return hemlockcall.Sheddable
 }
 
-func (c *Controller[T]) admit(t *Ticket[T]) {
+func (c *Controller[T]) admit(now time.Time, t *Ticket[T]) {
 	t.state, t.admitted = stateRunning, true
 	c.inFlight++
 	c.rate.record()
@@ -101,10 +115,13 @@
 	if t.Attributes.Suspect {
 		c.runningSuspects++
 	}
+	c.accounts.admit(now, t)
+	c.fix(t.account)
 }
 
 func (c *Controller[T]) refuse(t *Ticket[T], reason hemlockcall.Reason, detail string) {
 	t.state = stateRefused
+	c.accounts.refuse(t)
 	t.refusal = hemlockcall.Refuse(reason, detail)
 }
 
@@ -115,6 +132,7 @@
 // tickets of lower priorities are refused as well, because they would run within the hold.
 func (c *Controller[T]) refuseForLoad(now time.Time, t *Ticket[T], decided *[]*Ticket[T]) {
 	c.counters.Refused++
+	c.accounts.refused[groupOf(t)]++
 	c.refuse(t, hemlockcall.ReasonOverload, "the target or a downstream service is overloaded")
 	t.refusal = t.refusal.WithRetryAfter(c.settings.holdTime)
 	if t.Queued {
@@ -126,26 +144,53 @@
 		return
 	}
 	for lower := c.last(); lower != nil && lower.Attributes.Priority < p; lower = c.last() {
-		c.queueOf(lower).remove(lower)
+		c.dequeue(now, lower)
 		c.refuseForLoad(now, lower, decided)
 	}
 }
 
-// enqueue queues a ticket. If the queue is full, the ticket displaces the last one in the service order; if it would be the
-// last one itself or Displacement is disabled, it is refused.
-func (c *Controller[T]) enqueue(now time.Time, t *Ticket[T], decided *[]*Ticket[T]) {
-	if c.queued() >= c.maxQueued(now) {
+// place admits a ticket if no other one goes first and a slot is free, or queues it. If the queue is full, the last ticket in
+// the service order is refused: the given one itself, also if Displacement is disabled, or one that it displaces.
+func (c *Controller[T]) place(now time.Time, t *Ticket[T], decided *[]*Ticket[T]) {
+	if t.account != nil {
+		t.cost = c.costOf(t)
+	}
+	if c.hasSlotFor(t) && c.next() == nil && c.rate.allows(now) {
+		c.admit(now, t)
+		return
+	}
+	c.accounts.guarantee(t)
+	full := c.queued() >= c.maxQueued(now)
+	if full && (c.settings.disabled[Displacement] || c.isLast(t)) {
+		c.refuseForLoad(now, t, decided)
+		return
+	}
+	c.queueOf(t).push(now, t)
+	c.fix(t.account)
+	if full {
 		last := c.last()
-		if last == nil || c.settings.disabled[Displacement] || !t.ranksBefore(last, c.order()) {
-			c.refuseForLoad(now, t, decided)
-			return
+		c.dequeue(now, last)
+		if last != t {
+			c.counters.Displaced++
 		}
-		c.queueOf(last).remove(last)
-		c.counters.Displaced++
 		c.refuseForLoad(now, last, decided)
 	}
-	t.state, t.Queued = stateQueued, true
-	c.queueOf(t).push(t)
+	t.Queued = t.refusal == nil
+}
+
+// isLast reports whether a ticket without an organisation would be the last one in the queue. For one of an organisation,
+// that is known only once its cost is counted in its account.
+func (c *Controller[T]) isLast(t *Ticket[T]) bool {
+	last := c.last()
+	return t.account == nil && (last == nil || !t.ranksBefore(last, c.order().forLast()))
+}
+
+// costOf returns the expected slot time of a request.
+func (c *Controller[T]) costOf(t *Ticket[T]) time.Duration {
+	if k := c.classOf(t.Attributes.Class); k != nil && k.samples > 0 {
+		return max(k.meanServiceTime, minServiceTime)
+	}
+	return unknownServiceTime
 }
 
 // admitQueued takes tickets from the queue in the service order until the number of running requests reaches the limit, or
@@ -156,12 +201,12 @@
 		if t == nil {
 			return
 		}
-		c.queueOf(t).remove(t)
+		c.dequeue(now, t)
 		if c.isLate(now, t) {
 			c.refuseLate(now, t, decided)
 			continue
 		}
-		c.admit(t)
+		c.admit(now, t)
 		*decided = append(*decided, t)
 	}
 }
@@ -192,7 +237,7 @@
 		if t.state != stateQueued {
 			continue // refused already, because of a late ticket of a higher priority
 		}
-		c.queueOf(t).remove(t)
+		c.dequeue(now, t)
 		c.refuseLate(now, t, decided)
 	}
 }
--- a/hemlockadmission/option.go
+++ b/hemlockadmission/option.go
@@ -25,6 +25,9 @@
 	// NestedPacing limits the requests of a class to about as many as can complete, while many of its runs time out or have a
 	// nested call refused.
 	NestedPacing
+	// OrganisationOrder puts organisation rank and recently received slot time into the service order, and guarantees each
+	// organisation a minimum share. It has no effect on requests without an organisation while no organisation sends any.
+	OrganisationOrder
 
 	mechanismCount
 )
--- a/hemlockadmission/ticket.go
+++ b/hemlockadmission/ticket.go
@@ -12,11 +12,18 @@
 
 // Attributes are the properties of a request that decide on its admission.
 type Attributes struct {
-	// Priority is the first criterion of the service order. A request never displaces a queued one of a higher priority. It
+	// Priority is the first criterion of the service order after OrganisationRank. Among organisations of one rank, a request never displaces a queued one of a higher priority. It
 	// runs before a queued one of a higher priority only if that one is a suspect that has to wait.
 	Priority hemlockcall.Priority
 	// Rank orders customers of one priority and depth; 0 is served first.
 	Rank uint8
+	// Organisation is the customer whose slot time the request uses; empty if it is not known, as for the nested calls of a run. Of
+	// requests that are equal up to depth and Rank, those of the organisation that has received the least slot time recently are served
+	// first. Requests without an organisation are not held back by those of organisations.
+	Organisation string
+	// OrganisationRank orders organisations, before the priority of their requests; 0 is served first. Requests without an organisation
+	// have the rank 1, whatever this field says.
+	OrganisationRank uint8
 	// Depth is the number of calls upstream of this one. Deeper requests are served first because more work was done for
 	// them.
 	Depth uint8
@@ -80,14 +87,22 @@
 	// change after Offer has returned.
 	Queued bool
 
-	arrival    time.Time
-	deadline   time.Time
-	sequence   uint64
-	state      state
-	admitted   bool
-	refusal    *hemlockcall.Refusal
-	bestFirst  int // index in queue.bestFirst
-	worstFirst int // index in queue.worstFirst
+	arrival  time.Time
+	deadline time.Time
+	sequence uint64
+	state    state
+	admitted bool
+	refusal  *hemlockcall.Refusal
+	indexes  indexes
+
+	organisationRank uint8 // see Attributes.OrganisationRank
+	// guaranteed puts the request before all others; see minServedRatio. It does not change while the ticket is queued.
+	guaranteed bool
+	// account is that of the organisation; nil without one. The ticket is counted in it until it is refused or finished.
+	account *account[T]
+	// cost is the expected slot time. It was added to the account, as queued and then as received, at chargedAt.
+	cost      time.Duration
+	chargedAt time.Time
 }
 
 // Admitted reports whether the request may run. For a queued ticket it is valid from the call of onDecided on.
@@ -101,8 +116,19 @@
 	return t.refusal
 }
 
-// ranksBefore reports whether t is served before o.
+// heapIndexes implements element.
+func (t *Ticket[T]) heapIndexes() *indexes {
+	return &t.indexes
+}
+
+// ranksBefore implements element.
 func (t *Ticket[T]) ranksBefore(o *Ticket[T], order serviceOrder) bool {
+	if t.guaranteed != o.guaranteed {
+		return t.guaranteed
+	}
+	if t.organisationRank != o.organisationRank {
+		return t.organisationRank < o.organisationRank
+	}
 	if order.priority && t.Attributes.Priority != o.Attributes.Priority {
 		return t.Attributes.Priority > o.Attributes.Priority
 	}
@@ -112,6 +138,11 @@
 	if order.priority && t.Attributes.Rank != o.Attributes.Rank {
 		return t.Attributes.Rank < o.Attributes.Rank
 	}
+	if t.account != o.account {
+		if level, other := t.account.level(order), o.account.level(order); level != other {
+			return level < other
+		}
+	}
 	if due, other := t.due(), o.due(); order.priority && due != other {
 		return due.Before(other)
 	}
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -133,6 +133,11 @@
 	return g.controller.Snapshot(now)
 }
 
+// Organisations returns the use of the target by organisations. It is meant for operators, not for each call.
+func (g *Gate) Organisations(now time.Time) hemlockadmission.Organisations {
+	return g.controller.Organisations(now)
+}
+
 // Relay implements hemlockcall.Relayer: it runs the call at the target, or refuses it. The error is a
 // *hemlockcall.Refusal with the feedback of the gate.
 func (g *Gate) Relay(ctx context.Context, call *hemlockcall.RelayRequest) (*hemlockcall.RelayResponse, error) {
@@ -190,7 +195,8 @@
 	ticket := g.controller.Offer(now, hemlockadmission.Attributes{
 		Priority: call.Priority, Remaining: call.Remaining, Class: call.Class,
 		LatencyObjective: call.LatencyObjective,
-		Suspect:          decision == hemlocksuspect.RunAlone,
+		Organisation:     call.Organisation, OrganisationRank: call.OrganisationRank,
+		Suspect: decision == hemlocksuspect.RunAlone,
 	}, &waiter{decided: make(chan struct{})})
 	if ticket.Queued {
 		g.scheduleLateCallCheck()
