Show the use of a target by organisations, and test its sharing

Cause: an operator could not see which organisations use a target, nor which ones its queue refuses; the sharing had one test.

The state dump has the ten organisations with the most slot time.

The test of the order at the gate has a further call, of a more important organisation.

--- a/hemlockadmission/organisation.go
+++ b/hemlockadmission/organisation.go
@@ -42,10 +42,18 @@
 // Organisations returns the use by organisations at the given time. It takes time in proportion to their number and is meant
 // for operators, not for each request.
 func (c *Controller[T]) Organisations(now time.Time) Organisations {
+	o := c.copyOrganisations(now)
+	slices.SortFunc(o.MostServed, func(a, b Organisation) int { return cmp.Compare(b.SlotSeconds, a.SlotSeconds) })
+	o.MostServed = o.MostServed[:min(maxReported, len(o.MostServed))]
+	return o
+}
+
+// copyOrganisations returns the use by all organisations, in no particular order.
+func (c *Controller[T]) copyOrganisations(now time.Time) Organisations {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	o := Organisations{Recent: len(c.accounts.all), Guaranteed: c.accounts.guaranteed, Refused: map[string]uint64{},
-		MostServed: []Organisation{}}
+		MostServed: make([]Organisation, 0, len(c.accounts.all))}
 	for i, refused := range c.accounts.refused {
 		o.Refused[groupName(i)] = refused
 	}
@@ -53,8 +61,6 @@
 		o.MostServed = append(o.MostServed, Organisation{Name: a.name, SlotSeconds: a.received * decayOf(now.Sub(a.at)),
 			Running: a.tickets - a.queued, Queued: a.queued})
 	}
-	slices.SortFunc(o.MostServed, func(a, b Organisation) int { return cmp.Compare(b.SlotSeconds, a.SlotSeconds) })
-	o.MostServed = o.MostServed[:min(maxReported, len(o.MostServed))]
 	return o
 }
 
--- a/hemlockrelay/gate_test.go
+++ b/hemlockrelay/gate_test.go
@@ -104,10 +104,10 @@
 		})
 	})
 	// Guards against a short lookup that waits behind calls with a longer latency objective at a service without free
-	// slots.
+	// slots, and against a call of a more important organisation that waits behind either.
 	t.Run("runs the call whose latency objective expires first", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			started := make(chan string, 3)
+			started := make(chan string, 4)
 			target := &fakeTarget{respond: func(_ context.Context, _ int, call *hemlockcall.RelayRequest,
 			) (*hemlockcall.RelayResponse, error) {
 				started <- call.ID
@@ -115,17 +115,18 @@
 				return okResponse(), nil
 			}}
 			g := newTestGate(target, 1)
-			send := func(id string, objective time.Duration) {
+			send := func(id string, objective time.Duration, organisation string) {
 				call := newCall()
-				call.ID, call.LatencyObjective = id, objective
+				call.ID, call.LatencyObjective, call.Organisation, call.OrganisationRank = id, objective, organisation, 0
 				go func() { _, _ = g.Relay(t.Context(), call) }()
 				synctest.Wait()
 			}
-			send("running", 300*time.Millisecond)
-			send("nested", 300*time.Millisecond)
-			send("lookup", 100*time.Millisecond)
+			send("running", 300*time.Millisecond, "")
+			send("nested", 300*time.Millisecond, "")
+			send("lookup", 100*time.Millisecond, "")
+			send("customer", 300*time.Millisecond, "o")
 			time.Sleep(time.Second)
-			for _, want := range []string{"running", "lookup", "nested"} {
+			for _, want := range []string{"running", "customer", "lookup", "nested"} {
 				if got := <-started; got != want {
 					t.Errorf("call %s ran when call %s was due", got, want)
 				}
--- a/hemlocktelemetry/metrics.go
+++ b/hemlocktelemetry/metrics.go
@@ -30,7 +30,7 @@
 
 	mutex    sync.Mutex
 	counters map[outcomeKey]tally.Counter
-	gauges   map[string]tally.Gauge
+	gauges   map[gaugeKey]tally.Gauge
 }
 
 // outcomeKey contains the labels of a counter. Each label has a small set of values, so the number of counters is
@@ -42,6 +42,11 @@
 	reason   string
 }
 
+// gaugeKey is the name of a gauge and its only label; label is empty for a gauge without one.
+type gaugeKey struct {
+	name, label, labelValue string
+}
+
 // NewMetrics returns metrics without values, apart from those of the Go runtime.
 func NewMetrics() *Metrics {
 	registry := prometheus.NewRegistry()
@@ -52,7 +57,7 @@
 		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
 	}, reportInterval)
 	m := &Metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer, counters: map[outcomeKey]tally.Counter{},
-		gauges: map[string]tally.Gauge{}}
+		gauges: map[gaugeKey]tally.Gauge{}}
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 	for p := range hemlockcall.PriorityCount {
 		tags := map[string]string{"priority": hemlockcall.Priority(p).String()}
@@ -76,14 +81,28 @@
 
 // SetGauge sets the gauge with the given name, and creates it at first use.
 func (m *Metrics) SetGauge(name string, value float64) {
+	m.gauge(gaugeKey{name: name}).Update(value)
+}
+
+// SetTaggedGauge sets the gauge with the given name and one label, and creates it at first use. The label must have a small set
+// of values.
+func (m *Metrics) SetTaggedGauge(name, label, labelValue string, value float64) {
+	m.gauge(gaugeKey{name: name, label: label, labelValue: labelValue}).Update(value)
+}
+
+func (m *Metrics) gauge(key gaugeKey) tally.Gauge {
 	m.mutex.Lock()
-	gauge := m.gauges[name]
+	defer m.mutex.Unlock()
+	gauge := m.gauges[key]
 	if gauge == nil {
-		gauge = m.scope.Gauge(name)
-		m.gauges[name] = gauge
+		scope := m.scope
+		if key.label != "" {
+			scope = scope.Tagged(map[string]string{key.label: key.labelValue})
+		}
+		gauge = scope.Gauge(key.name)
+		m.gauges[key] = gauge
 	}
-	m.mutex.Unlock()
-	gauge.Update(value)
+	return gauge
 }
 
 func (m *Metrics) count(key outcomeKey) {
--- a/hemlocktelemetry/observer.go
+++ b/hemlocktelemetry/observer.go
@@ -88,9 +88,13 @@
 
 // callFields returns the log keys and values that all lines about a call have.
 func callFields(side hemlockrelay.Side, call *hemlockcall.RelayRequest, took time.Duration, version uint64) []any {
-	return []any{"request", call.ID, "side", side.String(), "class", call.Class, "service", call.Service,
+	fields := []any{"request", call.ID, "side", side.String(), "class", call.Class, "service", call.Service,
 		"origin", call.CallingService, "priority", call.Priority.String(),
 		"took-ms", milliseconds(took), "remaining-ms", milliseconds(call.Remaining), "configuration", version}
+	if call.Organisation != "" {
+		fields = append(fields, "organisation", call.Organisation, "organisation-rank", call.OrganisationRank)
+	}
+	return fields
 }
 
 func milliseconds(d time.Duration) float64 {
