Keep the exact order of results of a full queue without organisations

Cause: a request was added to a full queue before the last one was removed. Without organisations the decisions were the same, but the heaps got another layout; when several queued requests were late at once, the order in which they were refused changed, and with PriorityHold the counter of late ones.

Change: a request of an organisation is counted in its account before the last one is searched for, and is added to the queue afterwards, as before.

--- a/hemlockadmission/account.go
+++ b/hemlockadmission/account.go
@@ -65,15 +65,21 @@
 	a.totalLevel = math.Log(a.received+a.backlog) + offset
 }
 
-// enqueue counts a request that is being queued.
+// enqueue counts a request that is being queued. It does nothing without an account.
 func (a *account[T]) enqueue(now time.Time, t *Ticket[T]) {
+	if a == nil {
+		return
+	}
 	a.queued++
 	t.chargedAt = now
 	a.change(now, 0, t.cost.Seconds())
 }
 
-// dequeue removes a request that is no longer queued.
+// dequeue removes a request that is no longer queued. It does nothing without an account.
 func (a *account[T]) dequeue(now time.Time, t *Ticket[T]) {
+	if a == nil {
+		return
+	}
 	a.queued--
 	a.change(now, 0, -t.cost.Seconds()*decayOf(now.Sub(t.chargedAt)))
 }
--- a/hemlockadmission/decision.go
+++ b/hemlockadmission/decision.go
@@ -47,7 +47,8 @@
 
 // dequeue removes a ticket from its queue.
 func (c *Controller[T]) dequeue(now time.Time, t *Ticket[T]) {
-	c.queueOf(t).remove(now, t)
+	c.queueOf(t).remove(t)
+	t.account.dequeue(now, t)
 	c.fix(t.account)
 }
 
@@ -149,8 +150,7 @@
 	}
 }
 
-// place admits a ticket if no other one goes first and a slot is free, or queues it. If the queue is full, the last ticket in
-// the service order is refused: the given one itself, also if Displacement is disabled, or one that it displaces.
+// place admits a ticket if no other one goes first and a slot is free, or queues it.
 func (c *Controller[T]) place(now time.Time, t *Ticket[T], decided *[]*Ticket[T]) {
 	if t.account != nil {
 		t.cost = c.costOf(t)
@@ -160,29 +160,29 @@
 		return
 	}
 	c.accounts.guarantee(t)
-	full := c.queued() >= c.maxQueued(now)
-	if full && (c.settings.disabled[Displacement] || c.isLast(t)) {
-		c.refuseForLoad(now, t, decided)
-		return
-	}
-	c.queueOf(t).push(now, t)
+	c.enqueue(now, t, decided)
+}
+
+// enqueue queues a ticket. If the queue is full, the ticket displaces the last one in the service order; if it would be the
+// last one itself or Displacement is disabled, it is refused. Its cost is counted before the last one is searched for,
+// because that may move the other requests of its organisation to the end.
+func (c *Controller[T]) enqueue(now time.Time, t *Ticket[T], decided *[]*Ticket[T]) {
+	t.account.enqueue(now, t)
 	c.fix(t.account)
-	if full {
+	if c.queued() >= c.maxQueued(now) {
 		last := c.last()
-		c.dequeue(now, last)
-		if last != t {
-			c.counters.Displaced++
+		if last == nil || c.settings.disabled[Displacement] || !t.ranksBefore(last, c.order().forLast()) {
+			t.account.dequeue(now, t)
+			c.fix(t.account)
+			c.refuseForLoad(now, t, decided)
+			return
 		}
+		c.dequeue(now, last)
+		c.counters.Displaced++
 		c.refuseForLoad(now, last, decided)
 	}
-	t.Queued = t.refusal == nil
-}
-
-// isLast reports whether a ticket without an organisation would be the last one in the queue. For one of an organisation,
-// that is known only once its cost is counted in its account.
-func (c *Controller[T]) isLast(t *Ticket[T]) bool {
-	last := c.last()
-	return t.account == nil && (last == nil || !t.ranksBefore(last, c.order().forLast()))
+	t.state, t.Queued = stateQueued, true
+	c.queueOf(t).push(t)
 }
 
 // costOf returns the expected slot time of a request.
--- a/hemlockadmission/fair_queue.go
+++ b/hemlockadmission/fair_queue.go
@@ -1,7 +1,5 @@
 package hemlockadmission
 
-import "time"
-
 // The indexes in account.flows.
 const (
 	regularFlow = iota
@@ -48,8 +46,7 @@
 	return q.count
 }
 
-// push adds a ticket and counts it in its account. The caller then calls fix, here and in the other queue.
-func (q *fairQueue[T]) push(now time.Time, t *Ticket[T]) {
+func (q *fairQueue[T]) push(t *Ticket[T]) {
 	q.count++
 	if t.account == nil {
 		q.unowned.push(t)
@@ -57,14 +54,15 @@
 	}
 	f := &t.account.flows[q.flow]
 	f.tickets.push(t)
-	t.account.enqueue(now, t)
 	if f.tickets.size() == 1 {
 		q.flows.push(f)
+	} else {
+		q.flows.fix(f)
 	}
 }
 
-// remove removes a ticket and its part of the account. The caller then calls fix, here and in the other queue.
-func (q *fairQueue[T]) remove(now time.Time, t *Ticket[T]) {
+// remove removes a ticket. The caller then takes it out of its account and calls fix.
+func (q *fairQueue[T]) remove(t *Ticket[T]) {
 	q.count--
 	if t.account == nil {
 		q.unowned.remove(t)
@@ -75,7 +73,6 @@
 		q.flows.remove(f)
 	}
 	f.tickets.remove(t)
-	t.account.dequeue(now, t)
 }
 
 // fix restores the order after the levels of an account or the tickets of its flow have changed.
