Correct the comment on displacement by priority

Cause: the comment said that among organisations of one rank a request never displaces a queued one of a higher priority. A guaranteed request does. The account whose credit counts for a request was called creditor, which means the opposite.

Change: comment and name only.

Result: vet and golangci-lint report no issues; the tests of hemlockadmission pass.

--- a/hemlockadmission/accounts.go
+++ b/hemlockadmission/accounts.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// creditor returns the account whose credit counts for a ticket.
-func (s *accounts[T]) creditor(t *Ticket[T]) *account[T] {
+// creditAccount returns the account whose credit counts for a ticket.
+func (s *accounts[T]) creditAccount(t *Ticket[T]) *account[T] {
 	if t.account == nil {
 		return &s.unowned
 	}
@@ -140,13 +140,13 @@
 	}
 	s.offered++
 	servedPart := min(1, (s.served+1)/s.offered)
-	a := s.creditor(t)
+	a := s.creditAccount(t)
 	a.credit = min(maxCredit, a.credit+minServedRatio*servedPart)
 }
 
 // guarantee puts a ticket that has to wait before all others if its organisation has the credit for it.
 func (s *accounts[T]) guarantee(t *Ticket[T]) {
-	if a := s.creditor(t); s.inUse() && a.credit >= 1 {
+	if a := s.creditAccount(t); s.inUse() && a.credit >= 1 {
 		a.credit--
 		t.guaranteed = true
 		s.guaranteed++
@@ -159,7 +159,7 @@
 		return
 	}
 	s.served++
-	if a := s.creditor(t); !t.guaranteed {
+	if a := s.creditAccount(t); !t.guaranteed {
 		a.credit = max(0, a.credit-1)
 	}
 	if t.account != nil {
@@ -170,7 +170,7 @@
 // refuse ends the use of the account by a ticket that is not queued any more and will not run, and gives back its credit.
 func (s *accounts[T]) refuse(t *Ticket[T]) {
 	if t.guaranteed {
-		a := s.creditor(t)
+		a := s.creditAccount(t)
 		a.credit = min(maxCredit, a.credit+1)
 	}
 	if t.account != nil {
--- a/hemlockadmission/ticket.go
+++ b/hemlockadmission/ticket.go
@@ -12,8 +12,9 @@
 
 // Attributes are the properties of a request that decide on its admission.
 type Attributes struct {
-	// Priority is the first criterion of the service order after OrganisationRank. Among organisations of one rank, a request never displaces a queued one of a higher priority. It
-	// runs before a queued one of a higher priority only if that one is a suspect that has to wait.
+	// Priority is the first criterion of the service order after OrganisationRank. Among requests of one organisation rank that are
+	// not guaranteed (see minServedRatio), a request never displaces a queued one of a higher priority, and runs before it only if
+	// that one is a suspect that has to wait.
 	Priority hemlockcall.Priority
 	// Rank orders customers of one priority and depth; 0 is served first.
 	Rank uint8
