--- a/hemlocktelemetry/observer.go
+++ b/hemlocktelemetry/observer.go
@@ -92,7 +92,7 @@
 		"origin", call.CallingService, "priority", call.Priority.String(),
 		"took-ms", milliseconds(took), "remaining-ms", milliseconds(call.Remaining), "configuration", version}
 	if call.Organisation != "" {
-		fields = append(fields, "organisation", call.Organisation, "rank", call.OrganisationRank)
+		fields = append(fields, "organisation", call.Organisation, "organisation-rank", call.OrganisationRank)
 	}
 	return fields
 }
