Add placement by cost: class costs, slowness and outstanding work

Cause: the selector kept one average service time for each target, whatever class ran, and saw only calls in flight. At a service with calls of 15 and 190 ms, the average says little about either the target or the call.

Change: hemlockselection has a second rule, PlacementCost. The cost of each class and the slowness of each target are learned from service times; a change that several targets have in common belongs to the class. Gates report the outstanding work at their target. The better of two random targets by expected completion time is chosen.

Ruled out: outstanding work from calls in flight at the entry alone; an entry of a large deployment sees one call of a target a second. Weights by sample instead of by time for the cost: at 800 calls/s, they forget within 60 ms.

--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -220,7 +220,7 @@
 // attempts at addresses that were tried before.
 func (a *attempts) nextAddress(now time.Time) (string, bool) {
 	if len(a.reached) < a.maxTargets {
-		if target, err := a.entry.selector.Pick(now, a.call.Service, a.tried); err == nil {
+		if target, err := a.entry.selector.Pick(now, a.call.Service, a.call.Class, a.tried); err == nil {
 			a.tried = append(a.tried, target.Address)
 			a.limitKnown = a.entry.selector.Report(target.Address).RateLimit.Stated
 			return target.Address, true
@@ -230,7 +230,7 @@
 		return "", false
 	}
 	a.sameTargetRetries++
-	return a.retryAddress, a.retryAddress != "" && a.sameTargetRetries < maxTargetAttempts && a.entry.selector.Acquire(a.retryAddress)
+	return a.retryAddress, a.retryAddress != "" && a.sameTargetRetries < maxTargetAttempts && a.entry.selector.Acquire(now, a.retryAddress, a.call.Class)
 }
 
 // send makes one attempt at the target that the selector has chosen, and records its result.
@@ -265,14 +265,14 @@
 	response.Peer = address
 	// A response with an error status counts as completed: most of these errors come from downstream calls.
 	a.entry.recordResult(now, address, call, hemlockselection.Result{Outcome: hemlockselection.Completed,
-		ServiceTime: response.ServiceTime, Feedback: response.Feedback})
+		ServiceTime: response.ServiceTime, ErrorStatus: response.Status >= minServerError, Feedback: response.Feedback})
 	return response, nil
 }
 
 // recordResult records the result of an attempt, with the load that the peer reported, for the choice of later targets
 // and for load shedding.
 func (e *Entry) recordResult(now time.Time, address string, call *hemlockcall.RelayRequest, r hemlockselection.Result) {
-	e.selector.Done(now, address, r)
+	e.selector.Done(now, address, call.Class, r)
 	e.monitor.MergeLoads(now, r.Feedback.Loads)
 	if r.Feedback.Limit > 0 {
 		e.monitor.RecordLoad(now, call.Service, float64(r.Feedback.InFlight)/float64(r.Feedback.Limit))
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -11,6 +11,7 @@
 	"hemlockhollow/hemlockadmission"
 	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockdrain"
+	"hemlockhollow/hemlockselection"
 	"hemlockhollow/hemlocksuspect"
 )
 
@@ -47,6 +48,8 @@
 
 	drain     *hemlockdrain.Drain
 	latencies *latencies
+	// work is nil if the gate does not report the outstanding work at its target.
+	work *hemlockselection.Work
 
 	// mutex is locked before the mutex of the controller.
 	mutex sync.Mutex
@@ -144,15 +147,19 @@
 		ctx = deadlineContext
 	}
 	g.mergeReport(arrival, call.TargetReport)
+	work := g.work.Queued(arrival, call.Class)
 	ticket, err := g.admit(ctx, arrival, call)
 	if err != nil {
+		work.Ended(arrival, false)
 		refusal := hemlockcall.AsRefusal(err)
 		g.observer.Refused(SideGate, call, refusal, time.Since(arrival))
 		return nil, refusal.WithFeedback(g.feedback(call))
 	}
 	started := time.Now()
+	work = work.Started(started)
 	response, err := g.run(ctx, call, arrival)
 	ended := time.Now()
+	work.Ended(ended, err == nil && response.Status < minServerError)
 	g.controller.Finish(ended, ticket, hemlockadmission.Outcome{
 		Result: g.resultOf(response, err), ServiceTime: ended.Sub(started)})
 	if err != nil {
@@ -174,7 +181,7 @@
 	s := g.controller.Snapshot(now)
 	inUse, limit := loadOf(s)
 	return hemlockcall.Feedback{MinPriority: s.MinPriority, InFlight: inUse, Limit: limit, Loads: g.loadSource(now),
-		Target: g.reportFor(call)}
+		Target: g.reportFor(call), Outstanding: g.work.Outstanding(now)}
 }
 
 // admit waits until the call may run, or returns a refusal. The caller must pass the ticket to Finish.
--- a/hemlockrelay/hedge.go
+++ b/hemlockrelay/hedge.go
@@ -156,12 +156,12 @@
 	if !a.entry.mayBegin(now, a.call.Class, a.deadline) || a.entry.monitor.ServiceLoad(now, a.call.Service) > maxHedgeLoad {
 		return "", false
 	}
-	target, err := a.entry.selector.Pick(now, a.call.Service, a.tried)
+	target, err := a.entry.selector.Pick(now, a.call.Service, a.call.Class, a.tried)
 	if err != nil {
 		return "", false
 	}
 	if !a.entry.budget.Spend(now, a.call.Service, a.call.Priority) {
-		a.entry.selector.Release(target.Address)
+		a.entry.selector.Release(target.Address, a.call.Class)
 		return "", false
 	}
 	a.tried = append(a.tried, target.Address)
--- /dev/null
+++ b/hemlockselection/estimates.go
@@ -0,0 +1,183 @@
+package hemlockselection
+
+import (
+	"math"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+const (
+	// centreInterval is how often the slowness of the targets of a service is shifted to the mean 1.
+	centreInterval = time.Second
+	// usualLoadTimeConstant is the time constant of the usual load of a target, which is used where there is no recent report, and
+	// that of its drift to the mean of the service. An entry of a large deployment calls a given target every few seconds.
+	usualLoadTimeConstant = 3 * time.Second
+	// minOverdue is how many times longer than expected a target may take to end any of its calls before that counts as slowness.
+	minOverdue = 2
+	// maxOverdueFactor limits the slowness that is concluded from calls in flight, so that the target gets a call again.
+	maxOverdueFactor = 50
+	// gradualStart is the time in which a target that has just started gets its full share, and minStartShare the share that it
+	// starts with. Its caches are empty, and all nodes see an idle target at the same time.
+	gradualStart  = 3 * time.Second
+	minStartShare = 0.1
+)
+
+// estimates is what the node has learned about one service. It is kept while the service has targets.
+type estimates struct {
+	classes map[string]*classCost // by name; at most maxClasses+1
+	list    []*classCost          // by index
+	load    usualLoad             // mean of all targets
+	// centredAt is when the slowness of the targets was last centred.
+	centredAt time.Time
+}
+
+// usualLoad is a moving average of reports.
+type usualLoad struct {
+	load float64 // calls in use or queued, as a fraction of the limit
+	work float64 // outstanding work in seconds for each slot, at slowness 1
+	at   time.Time
+}
+
+func (u *usualLoad) add(now time.Time, load, work float64, timeConstant time.Duration) {
+	weight := 1.0
+	if !u.at.IsZero() {
+		weight = 1 - decay(now.Sub(u.at), timeConstant)
+	}
+	u.load += (load - u.load) * weight
+	u.work += (work - u.work) * weight
+	u.at = now
+}
+
+// costState is what a Selector that chooses by cost knows of one target besides the fields of entry.
+type costState struct {
+	slowness slowness
+	// inFlightOf counts the calls of this node that have not ended, by the index of their class.
+	inFlightOf []int32
+	// progressAt is when a call ended last, or when the first of the calls in flight began if none was in flight before.
+	progressAt time.Time
+	usual      usualLoad
+	// reportedWork is the reported outstanding work in seconds at slowness 1, and ownWorkAtReport that of the calls of this node when
+	// the report arrived; the report includes them.
+	reportedWork, ownWorkAtReport float64
+	// isNew is set for a target that was added to a service with targets; its share grows from firstSeen on.
+	isNew     bool
+	firstSeen time.Time // zero until the target is considered for the first time
+}
+
+// classOf returns the cost of a class.
+func (e *estimates) classOf(name string) *classCost {
+	c := e.classes[name]
+	if c == nil && len(e.classes) >= maxClasses {
+		name = ""
+		c = e.classes[name]
+	}
+	if c == nil {
+		c = &classCost{index: len(e.list)}
+		e.classes[name] = c
+		e.list = append(e.list, c)
+	}
+	return c
+}
+
+// begin counts a call of this node as in flight.
+func (k *costState) begin(now time.Time, c *classCost, inFlight int) {
+	for len(k.inFlightOf) <= c.index {
+		k.inFlightOf = append(k.inFlightOf, 0)
+	}
+	k.inFlightOf[c.index]++
+	if inFlight == 0 || k.progressAt.IsZero() {
+		k.progressAt = now
+	}
+}
+
+// end counts a call of this node as ended.
+func (k *costState) end(c *classCost) {
+	if c.index < len(k.inFlightOf) && k.inFlightOf[c.index] > 0 {
+		k.inFlightOf[c.index]--
+	}
+}
+
+// ownWork returns the expected cost of the node's own calls in flight, and the highest cost of one of them.
+func (k *costState) ownWork(now time.Time, e *estimates) (sum, highest float64) {
+	for i, n := range k.inFlightOf {
+		if n > 0 {
+			cost := e.list[i].cost(now)
+			sum += float64(n) * cost
+			highest = max(highest, cost)
+		}
+	}
+	return sum, highest
+}
+
+// learn records the result of a call of the class. It is called after recordResult.
+func (e *entry) learn(now time.Time, g *group, class *classCost, r Result) {
+	e.cost.end(class)
+	e.cost.progressAt = now
+	if r.Outcome == Completed && r.ServiceTime > 0 && !r.ErrorStatus {
+		deviation := class.add(now, e, math.Log(r.ServiceTime.Seconds()), e.cost.slowness.usual)
+		e.cost.slowness.add(now, deviation)
+	}
+	if r.Feedback.Limit > 0 {
+		e.learnReport(now, g.estimates, class, r.Feedback)
+	}
+	if now.Sub(g.estimates.centredAt) >= centreInterval {
+		g.centre(now)
+	}
+}
+
+// learnReport records the load that the target's node reported. A node that does not choose by cost reports no outstanding work; it is
+// then that of calls of the same class.
+func (e *entry) learnReport(now time.Time, estimates *estimates, class *classCost, f hemlockcall.Feedback) {
+	k := &e.cost
+	// The gate measures at the usual speed of its target, because it knows no other target.
+	k.reportedWork = f.Outstanding.Seconds() * math.Exp(-k.slowness.usual)
+	if f.Outstanding == 0 {
+		k.reportedWork = float64(f.InFlight) * class.cost(now) * minRemainingFraction
+	}
+	k.ownWorkAtReport, _ = k.ownWork(now, estimates)
+	load, work := float64(f.InFlight)/float64(f.Limit), k.reportedWork/float64(f.Limit)
+	k.usual.add(now, load, work, usualLoadTimeConstant)
+	estimates.load.add(now, load, work, usualLoadTimeConstant)
+}
+
+// centre shifts the slowness of all targets with samples to the mean 0, as a logarithm, and the cost of the classes accordingly.
+func (g *group) centre(now time.Time) {
+	g.estimates.centredAt = now
+	sum, count := 0.0, 0
+	for _, list := range [][]*entry{g.own, g.other} {
+		for _, e := range list {
+			if e.cost.slowness.samples > 0 {
+				sum += e.cost.slowness.usual
+				count++
+			}
+		}
+	}
+	if count == 0 {
+		return
+	}
+	mean := sum / float64(count)
+	for _, list := range [][]*entry{g.own, g.other} {
+		for _, e := range list {
+			if e.cost.slowness.samples > 0 {
+				e.cost.slowness.usual -= mean
+			}
+		}
+	}
+	for _, c := range g.estimates.list {
+		c.logCost += mean
+	}
+}
+
+// startShare is the share of its calls that a target gets that has just started; 1 after gradualStart.
+func (e *entry) startShare(now time.Time) float64 {
+	if !e.cost.isNew {
+		return 1
+	}
+	if e.cost.firstSeen.IsZero() {
+		e.cost.firstSeen = now
+	}
+	share := now.Sub(e.cost.firstSeen).Seconds() / gradualStart.Seconds()
+	e.cost.isNew = share < 1
+	return max(minStartShare, min(1, share))
+}
--- a/hemlockselection/report_test.go
+++ b/hemlockselection/report_test.go
@@ -25,7 +25,7 @@
 	now := start
 	for range 2000 {
 		now = now.Add(2 * maxFeedbackAge)
-		chosen, err := selector.Pick(now, "s", nil)
+		chosen, err := selector.Pick(now, "s", "c", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -34,7 +34,7 @@
 		if chosen.Address == "limited" {
 			result = reporting(limited)
 		}
-		selector.Done(now, chosen.Address, result)
+		selector.Done(now, chosen.Address, "c", result)
 	}
 	if counts["limited"] < 50 || counts["limited"] > 250 {
 		t.Errorf("%d of 2000 calls to the target with a tenth of its capacity left, want 50 to 250", counts["limited"])
@@ -45,8 +45,8 @@
 func TestReportsOfUnlistedTargets(t *testing.T) {
 	leaving := hemlockcall.TargetReport{Instance: "i", Leaving: true}
 	selector := newSelector(target("1", "a"))
-	selector.Done(start, "1", reporting(leaving))
-	if _, err := selector.Pick(start, "s", nil); err == nil {
+	selector.Done(start, "1", "c", reporting(leaving))
+	if _, err := selector.Pick(start, "s", "c", nil); err == nil {
 		t.Error("a leaving target was picked, want none")
 	}
 	selector.Replace(nil)
@@ -59,12 +59,12 @@
 	if got := selector.Report("1"); got != leaving {
 		t.Errorf("report %+v after the restart of its node, want %+v", got, leaving)
 	}
-	selector.Done(start, "1", reporting(hemlockcall.TargetReport{Instance: "next"}))
+	selector.Done(start, "1", "c", reporting(hemlockcall.TargetReport{Instance: "next"}))
 	if got := selector.Report("1"); got.Instance != "" {
 		t.Errorf("report %+v after the next process has stated nothing, want one without content", got)
 	}
 	for i := range 3 * maxReports {
-		selector.Done(start, fmt.Sprint("gone-", i), reporting(leaving))
+		selector.Done(start, fmt.Sprint("gone-", i), "c", reporting(leaving))
 	}
 	selector.Replace([]hemlockcall.Target{restarted})
 	if n := len(selector.reports); n > maxReports {
--- a/hemlockselection/selector.go
+++ b/hemlockselection/selector.go
@@ -28,14 +28,16 @@
 // Selector is the load balancer of a node: it holds what the node knows about the targets of all services, and chooses
 // the target of each call. It is safe for concurrent use.
 type Selector struct {
-	zone   string
-	random func(n int) int
+	zone      string
+	random    func(n int) int
+	placement Placement
 
 	mutex   sync.Mutex
 	entries map[string]*entry // by address
 	groups  map[string]*group // by service
 	// reports holds, by address, the reports that state something; at most maxReports that belong to no entry.
 	reports map[string]hemlockcall.TargetReport
+	choices [reasonCount]uint64 // by cost
 }
 
 // maxReports limits the reports about targets that are not listed. Such a target may be listed again after its node was
@@ -46,12 +48,18 @@
 type group struct {
 	own   []*entry // in the zone of this node
 	other []*entry // in all other zones
+	// estimates is nil unless targets are chosen by cost.
+	estimates *estimates
 }
 
 // New returns a Selector without targets for a node in the given zone. Random returns a number in [0,n).
-func New(zone string, random func(n int) int) *Selector {
-	return &Selector{zone: zone, random: random, entries: map[string]*entry{}, groups: map[string]*group{},
+func New(zone string, random func(n int) int, options ...Option) *Selector {
+	s := &Selector{zone: zone, random: random, placement: PlacementLoad, entries: map[string]*entry{}, groups: map[string]*group{},
 		reports: map[string]hemlockcall.TargetReport{}}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Replace replaces the list of targets. The state of a target is kept unless its service or its generation has changed:
@@ -64,11 +72,7 @@
 	for _, target := range targets {
 		e := s.entries[target.Address]
 		if e == nil || e.target.Service != target.Service || e.target.Generation != target.Generation {
-			fresh := &entry{}
-			if e != nil {
-				fresh.inFlight = e.inFlight
-			}
-			e = fresh
+			e = s.newEntry(e, target)
 		}
 		e.target = target
 		e.rateLimit = s.reports[target.Address].RateLimit
@@ -76,6 +80,9 @@
 		g := groups[target.Service]
 		if g == nil {
 			g = &group{}
+			if s.placement == PlacementCost {
+				g.estimates = s.estimatesOf(target.Service)
+			}
 			groups[target.Service] = g
 		}
 		if target.Zone == s.zone {
@@ -93,6 +100,28 @@
 	s.dropReports()
 }
 
+// newEntry returns the entry of a target that is not known yet, or that runs in another process than the previous entry says.
+func (s *Selector) newEntry(previous *entry, target hemlockcall.Target) *entry {
+	e := &entry{}
+	// A node that has just started knows no target; all of them are then equally new to it.
+	e.cost.isNew = s.groups[target.Service] != nil
+	if previous != nil {
+		e.inFlight = previous.inFlight
+		if previous.target.Service == target.Service {
+			e.cost.inFlightOf, e.cost.progressAt = previous.cost.inFlightOf, previous.cost.progressAt
+		}
+	}
+	return e
+}
+
+// estimatesOf returns the estimates of a service, which are kept while it has targets.
+func (s *Selector) estimatesOf(service string) *estimates {
+	if g := s.groups[service]; g != nil {
+		return g.estimates
+	}
+	return &estimates{classes: map[string]*classCost{}}
+}
+
 // dropReports removes the reports about targets that are not listed if there are more than maxReports of them. It is called
 // with the lock held.
 func (s *Selector) dropReports() {
@@ -124,38 +153,51 @@
 	return s.reports[address], generation
 }
 
-// Pick chooses a target whose address is not in tried, and counts the call as in flight until Done or Release. The
-// error has KindNoTarget.
-func (s *Selector) Pick(now time.Time, service string, tried []string) (hemlockcall.Target, error) {
+// Pick chooses a target for a call of a class whose address is not in tried, and counts the call as in flight until Done or
+// Release. The error has KindNoTarget.
+func (s *Selector) Pick(now time.Time, service, class string, tried []string) (hemlockcall.Target, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	g := s.groups[service]
 	if g == nil {
 		return hemlockcall.Target{}, &Error{Operation: "pick target", Kind: KindNoTarget}
 	}
-	e := s.choose(now, g, tried)
+	var e *entry
+	if g.estimates != nil {
+		e = s.chooseByCost(now, g, g.estimates.classOf(class), tried)
+	} else {
+		e = s.choose(now, g, tried)
+	}
 	if e == nil {
 		return hemlockcall.Target{}, &Error{Operation: "pick target", Kind: KindNoTarget}
 	}
-	e.inFlight++
+	s.begin(now, e, class)
 	return e.target, nil
 }
 
-// Acquire selects the target at an address, for a retry, and counts the call as in flight until Done or Release. It
-// returns false if the target is unknown, not ready or leaving.
-func (s *Selector) Acquire(address string) bool {
+// Acquire selects the target at an address for a call of a class, for a retry, and counts the call as in flight until Done or
+// Release. It returns false if the target is unknown, not ready or leaving.
+func (s *Selector) Acquire(now time.Time, address, class string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	e := s.entries[address]
 	if e == nil || !e.eligible(nil) {
 		return false
 	}
-	e.inFlight++
+	s.begin(now, e, class)
 	return true
 }
 
-// Done records the result of a picked or acquired call.
-func (s *Selector) Done(now time.Time, address string, r Result) {
+// begin counts a call as in flight. It is called with the lock held.
+func (s *Selector) begin(now time.Time, e *entry, class string) {
+	if g := s.groups[e.target.Service]; g.estimates != nil {
+		e.cost.begin(now, g.estimates.classOf(class), e.inFlight)
+	}
+	e.inFlight++
+}
+
+// Done records the result of a picked or acquired call of a class.
+func (s *Selector) Done(now time.Time, address, class string, r Result) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if report := r.Feedback.Target; report.StatesAnything() {
@@ -166,15 +208,21 @@
 	if e := s.entries[address]; e != nil {
 		e.rateLimit = s.reports[address].RateLimit
 		e.recordResult(now, r)
+		if g := s.groups[e.target.Service]; g.estimates != nil {
+			e.learn(now, g, g.estimates.classOf(class), r)
+		}
 	}
 }
 
-// Release ends a picked or acquired call that was never sent.
-func (s *Selector) Release(address string) {
+// Release ends a picked or acquired call of a class that was never sent.
+func (s *Selector) Release(address, class string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if e := s.entries[address]; e != nil {
 		e.inFlight = max(0, e.inFlight-1)
+		if g := s.groups[e.target.Service]; g.estimates != nil {
+			e.cost.end(g.estimates.classOf(class))
+		}
 	}
 }
 
@@ -207,12 +255,20 @@
 }
 
 // betterOfTwo returns the one of two random eligible targets with the shorter expected time, or nil if none is
-// eligible. If it returned the best of all, all nodes with the same feedback would send their calls to one target. With
-// preferred set, it skips unreachable targets and passes over rate-limited ones.
+// eligible. If it returned the best of all, all nodes with the same feedback would send their calls to one target.
 func (s *Selector) betterOfTwo(now time.Time, entries []*entry, tried []string, preferred bool) *entry {
-	var first, second *entry
+	first, second := s.drawTwo(now, entries, tried, preferred)
+	if second != nil && second.expectedTime(now) < first.expectedTime(now) {
+		return second
+	}
+	return first
+}
+
+// drawTwo returns two random eligible targets; the second, or both, are nil if there are fewer. With preferred set, it skips
+// unreachable targets and passes over rate-limited ones and, where targets are chosen by cost, those that have just started.
+func (s *Selector) drawTwo(now time.Time, entries []*entry, tried []string, preferred bool) (first, second *entry) {
 	if len(entries) == 0 {
-		return nil
+		return nil, nil
 	}
 	start := s.random(len(entries))
 	for i := range entries {
@@ -229,14 +285,10 @@
 			continue
 		}
 		if e != first {
-			second = e
-			break
+			return first, e
 		}
 	}
-	if second != nil && second.expectedTime(now) < first.expectedTime(now) {
-		return second
-	}
-	return first
+	return first, nil
 }
 
 // passesOver decides at random to skip a rate-limited target, so that limited and other targets get calls in proportion to what
@@ -244,6 +296,11 @@
 // a call for a target every few seconds has no recent feedback.
 func (s *Selector) passesOver(now time.Time, e *entry) bool {
 	const steps = 1 << 20
+	if s.placement == PlacementCost {
+		if share := e.startShare(now); share < 1 && float64(s.random(steps)) >= share*steps {
+			return true
+		}
+	}
 	return e.rateLimit.Stated && !e.hasRecentFeedback(now) && float64(s.random(steps)) >= e.limitedShare()*steps
 }
 
--- a/hemlockselection/selector_test.go
+++ b/hemlockselection/selector_test.go
@@ -28,12 +28,12 @@
 	counts := map[string]int{}
 	for i := range count {
 		now := start.Add(time.Duration(i) * time.Millisecond)
-		chosen, err := selector.Pick(now, "s", nil)
+		chosen, err := selector.Pick(now, "s", "c", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		counts[chosen.Address]++
-		selector.Done(now, chosen.Address, resultOf(chosen.Address))
+		selector.Done(now, chosen.Address, "c", resultOf(chosen.Address))
 	}
 	return counts
 }
@@ -92,11 +92,11 @@
 	t.Run("skips an unreachable target and tries it again later", func(t *testing.T) {
 		selector := newSelector(target("good", "a"), target("gone", "a"))
 		for range 20 {
-			chosen, err := selector.Pick(start, "s", []string{"good"})
+			chosen, err := selector.Pick(start, "s", "c", []string{"good"})
 			if err != nil {
 				t.Fatal(err)
 			}
-			selector.Done(start, chosen.Address, Result{Outcome: Unreachable})
+			selector.Done(start, chosen.Address, "c", Result{Outcome: Unreachable})
 		}
 		counts := pickMany(t, selector, 100, func(string) Result { return completed(20*time.Millisecond, 1) })
 		if counts["gone"] != 0 {
@@ -104,7 +104,7 @@
 		}
 		later := start.Add(2 * maxUnreachablePause)
 		for range 50 {
-			if chosen, _ := selector.Pick(later, "s", nil); chosen.Address == "gone" {
+			if chosen, _ := selector.Pick(later, "s", "c", nil); chosen.Address == "gone" {
 				return
 			}
 		}
@@ -112,17 +112,17 @@
 	})
 	t.Run("picks a leaving target again once its generation has changed", func(t *testing.T) {
 		selector := newSelector(target("one", "a"))
-		if _, err := selector.Pick(start, "s", nil); err != nil {
+		if _, err := selector.Pick(start, "s", "c", nil); err != nil {
 			t.Fatal(err)
 		}
-		selector.Done(start, "one", Result{Outcome: Leaving})
-		if chosen, err := selector.Pick(start, "s", nil); err == nil {
+		selector.Done(start, "one", "c", Result{Outcome: Leaving})
+		if chosen, err := selector.Pick(start, "s", "c", nil); err == nil {
 			t.Errorf("%v was picked while it is leaving, want an error", chosen)
 		}
 		restarted := target("one", "a")
 		restarted.Generation = 2
 		selector.Replace([]hemlockcall.Target{restarted})
-		if _, err := selector.Pick(start, "s", nil); err != nil {
+		if _, err := selector.Pick(start, "s", "c", nil); err != nil {
 			t.Error(err)
 		}
 	})
@@ -131,20 +131,20 @@
 		former := target("one", "a")
 		former.Generation = 1
 		selector := newSelector(former)
-		if _, err := selector.Pick(start, "s", nil); err != nil {
+		if _, err := selector.Pick(start, "s", "c", nil); err != nil {
 			t.Fatal(err)
 		}
 		_, generation := selector.Known("one")
 		restarted := target("one", "a")
 		restarted.Generation = generation + 1
 		selector.Replace([]hemlockcall.Target{restarted})
-		selector.Done(start, "one", Result{Outcome: Leaving, Generation: generation})
-		if _, err := selector.Pick(start, "s", nil); err != nil {
+		selector.Done(start, "one", "c", Result{Outcome: Leaving, Generation: generation})
+		if _, err := selector.Pick(start, "s", "c", nil); err != nil {
 			t.Errorf("%v after a late refusal of an earlier generation, want the target", err)
 		}
 	})
 	t.Run("returns an error without a target", func(t *testing.T) {
-		if _, err := newSelector().Pick(start, "s", nil); err == nil {
+		if _, err := newSelector().Pick(start, "s", "c", nil); err == nil {
 			t.Error("no error from Pick without a target")
 		}
 	})
--- a/hemlockselection/target.go
+++ b/hemlockselection/target.go
@@ -49,6 +49,8 @@
 	Outcome Outcome
 	// ServiceTime is the time that the target took; 0 without a response. Only that of a completed call is used.
 	ServiceTime time.Duration
+	// ErrorStatus means that the response states a failure: its service time says nothing about the cost of the call.
+	ErrorStatus bool
 	// Generation is the generation of the target that was called, for the outcome Leaving: 0 counts as the current one.
 	Generation uint64
 	// Feedback is what the target's node reported; its Limit is 0 without a report.
@@ -97,6 +99,9 @@
 	failures    float64       // moving average: the fraction of failed calls
 	failuresAt  time.Time     // when failures was last changed
 
+	// cost is only used where targets are chosen by cost.
+	cost costState
+
 	unreachableUntil time.Time     // until when the target is skipped if another one can be picked
 	unreachablePause time.Duration // how long it was skipped the last time; 0 after a completed call
 }
--- a/hemlocktelemetry/observer.go
+++ b/hemlocktelemetry/observer.go
@@ -55,7 +55,8 @@
 	}
 	o.log.Info("call answered", append(callFields(side, call, took, o.version()),
 		"peer", response.Peer, "status", response.Status, "service-ms", milliseconds(response.ServiceTime),
-		"in-flight", response.Feedback.InFlight, "limit", response.Feedback.Limit)...)
+		"in-flight", response.Feedback.InFlight, "limit", response.Feedback.Limit,
+		"outstanding-ms", milliseconds(response.Feedback.Outstanding))...)
 }
 
 // Refused implements hemlockrelay.Observer.
@@ -71,6 +72,7 @@
 		"peer", refusal.Peer, "verdict", refusal.Verdict.String(), "reason", string(refusal.Reason),
 		"detail", refusal.Detail, "reached", refusal.ReachedTarget,
 		"in-flight", refusal.Feedback.InFlight, "limit", refusal.Feedback.Limit,
+		"outstanding-ms", milliseconds(refusal.Feedback.Outstanding),
 		"level", refusal.Feedback.MinPriority.String(), "retry-after-ms", milliseconds(refusal.RetryAfter))...)
 }
 
