Add tests of placement by cost, and assume a neutral load of unknown zones

Cause: the choice by cost had no tests. Where the own zone was full and nothing was known of other zones, these counted as equally full, so that no call left the zone.

The existing tests of Pick run with both placements. The mean load is kept for the own zone and the others separately, and drifts to a neutral one without reports; the values of a report are limited.

--- a/hemlockselection/benchmark_test.go
+++ b/hemlockselection/benchmark_test.go
@@ -14,16 +14,16 @@
 	for i := range 82 {
 		targets = append(targets, target(fmt.Sprint("10.0.0.", i), string(rune('a'+i%3))))
 	}
-	selector := newSelector(targets...)
-	now := start
 	result := completed(20*time.Millisecond, 5)
-	b.ReportAllocs()
-	for b.Loop() {
-		now = now.Add(time.Millisecond)
-		chosen, err := selector.Pick(now, "s", "c", nil)
-		if err != nil {
-			b.Fatal(err)
-		}
-		selector.Done(now, chosen.Address, "c", result)
+	result.Feedback.Outstanding = 80 * time.Millisecond
+	for _, placement := range []Placement{PlacementLoad, PlacementCost} {
+		b.Run(string(placement), func(b *testing.B) {
+			selector, now := newSelectorBy(placement, targets...), start
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				selector.Done(now, pickOwn(selector, now, "c").Address, "c", result)
+			}
+		})
 	}
 }
--- a/hemlockselection/cost_choice.go
+++ b/hemlockselection/cost_choice.go
@@ -44,24 +44,19 @@
 }
 
 // occupancy returns the limit, the load with one more call, and the outstanding work in seconds at slowness 1. A report loses weight
-// with its age; its place is taken by the usual load of the target, which drifts to that of the service.
+// with its age, and its place is taken by the mean of the targets of the own zone or of those of all others.
 func (e *entry) occupancy(now time.Time, estimates *estimates) (limit int, load, work float64) {
 	limit = max(1, e.target.Slots)
 	if e.feedback.Limit > 0 {
 		limit = e.feedback.Limit
 	}
 	k := &e.cost
-	usual := estimates.load
-	if !k.usual.at.IsZero() {
-		kept := decay(now.Sub(k.usual.at), usualLoadTimeConstant)
-		usual.load += (k.usual.load - usual.load) * kept
-		usual.work += (k.usual.work - usual.work) * kept
-	}
 	own, _ := k.ownWork(now, estimates)
 	slots := float64(limit)
-	load, work = max(float64(e.inFlight+1)/slots, usual.load), max(own, usual.work*slots)
+	load, work = estimates.load[k.side].current(now)
+	load, work = max(float64(e.inFlight+1)/slots, load), max(own, work*slots)
 	if e.hasRecentFeedback(now) {
-		weight := 1 - now.Sub(e.feedbackAt).Seconds()/maxFeedbackAge.Seconds()
+		weight := min(1, 1-now.Sub(e.feedbackAt).Seconds()/maxFeedbackAge.Seconds())
 		inUse := max(e.inFlight, e.feedback.InFlight+e.inFlight-e.inFlightAtFeedback)
 		load += (float64(inUse+1)/slots - load) * weight
 		work += (max(own, k.reportedWork+own-k.ownWorkAtReport) - work) * weight
--- a/hemlockselection/estimates.go
+++ b/hemlockselection/estimates.go
@@ -10,9 +10,16 @@
 const (
 	// centreInterval is how often the slowness of the targets of a service is shifted to the mean 1.
 	centreInterval = time.Second
-	// usualLoadTimeConstant is the time constant of the usual load of a target, which is used where there is no recent report, and
-	// that of its drift to the mean of the service. An entry of a large deployment calls a given target every few seconds.
-	usualLoadTimeConstant = 3 * time.Second
+	// meanLoadTimeConstant is the time constant of the mean load of the targets of a service, which is assumed where there is no recent
+	// report, and that of its drift to neutralLoad. An entry of a large deployment calls a given target every few seconds.
+	meanLoadTimeConstant = 3 * time.Second
+	// neutralLoad is the load that is assumed of targets without any report. Where the own zone is full, it lets a call go to another
+	// zone that nothing is known of; the report of that call says more.
+	neutralLoad = 0.5
+	// maxReportedLoad and maxReportedWork (for each slot) limit what counts of a report, so that a wrong one does not outweigh all later
+	// ones. The queue of a gate holds a few calls for each slot.
+	maxReportedLoad = 10
+	maxReportedWork = time.Minute
 	// minOverdue is how many times longer than expected a target may take to end any of its calls before that counts as slowness.
 	minOverdue = 2
 	// maxOverdueFactor limits the slowness that is concluded from calls in flight, so that the target gets a call again.
@@ -27,22 +34,31 @@
 type estimates struct {
 	classes map[string]*classCost // by name; at most maxClasses+1
 	list    []*classCost          // by index
-	load    usualLoad             // mean of all targets
+	load    [2]meanLoad           // of the targets of the own zone and of all others
 	// centredAt is when the slowness of the targets was last centred.
 	centredAt time.Time
 }
 
-// usualLoad is a moving average of reports.
-type usualLoad struct {
+// meanLoad is a moving average of reports.
+type meanLoad struct {
 	load float64 // calls in use or queued, as a fraction of the limit
 	work float64 // outstanding work in seconds for each slot, at slowness 1
 	at   time.Time
 }
 
-func (u *usualLoad) add(now time.Time, load, work float64, timeConstant time.Duration) {
+// current returns the load and the work after the time since the last report, in which they drift to those of a neutral target.
+func (u *meanLoad) current(now time.Time) (load, work float64) {
+	if u.at.IsZero() {
+		return neutralLoad, 0
+	}
+	kept := decay(now.Sub(u.at), meanLoadTimeConstant)
+	return neutralLoad + (u.load-neutralLoad)*kept, u.work * kept
+}
+
+func (u *meanLoad) add(now time.Time, load, work float64) {
 	weight := 1.0
 	if !u.at.IsZero() {
-		weight = 1 - decay(now.Sub(u.at), timeConstant)
+		weight = 1 - decay(now.Sub(u.at), meanLoadTimeConstant)
 	}
 	u.load += (load - u.load) * weight
 	u.work += (work - u.work) * weight
@@ -52,11 +68,11 @@
 // costState is what a Selector that chooses by cost knows of one target besides the fields of entry.
 type costState struct {
 	slowness slowness
+	side     int // 0 for a target of the own zone, 1 for any other
 	// inFlightOf counts the calls of this node that have not ended, by the index of their class.
 	inFlightOf []int32
 	// progressAt is when a call ended last, or when the first of the calls in flight began if none was in flight before.
 	progressAt time.Time
-	usual      usualLoad
 	// reportedWork is the reported outstanding work in seconds at slowness 1, and ownWorkAtReport that of the calls of this node when
 	// the report arrived; the report includes them.
 	reportedWork, ownWorkAtReport float64
@@ -111,7 +127,7 @@
 }
 
 // learn records the result of a call of the class. It is called after recordResult.
-func (e *entry) learn(now time.Time, g *group, class *classCost, r Result) {
+func (e *entry) learn(now time.Time, class *classCost, r Result) {
 	e.cost.end(class)
 	e.cost.progressAt = now
 	if r.Outcome == Completed && r.ServiceTime > 0 && !r.ErrorStatus {
@@ -119,10 +135,10 @@
 		e.cost.slowness.add(now, deviation)
 	}
 	if r.Feedback.Limit > 0 {
-		e.learnReport(now, g.estimates, class, r.Feedback)
+		e.learnReport(now, e.group.estimates, class, r.Feedback)
 	}
-	if now.Sub(g.estimates.centredAt) >= centreInterval {
-		g.centre(now)
+	if now.Sub(e.group.estimates.centredAt) >= centreInterval {
+		e.group.centre(now)
 	}
 }
 
@@ -135,10 +151,10 @@
 	if f.Outstanding == 0 {
 		k.reportedWork = float64(f.InFlight) * class.cost(now) * minRemainingFraction
 	}
+	k.reportedWork = min(k.reportedWork, maxReportedWork.Seconds()*float64(f.Limit))
 	k.ownWorkAtReport, _ = k.ownWork(now, estimates)
-	load, work := float64(f.InFlight)/float64(f.Limit), k.reportedWork/float64(f.Limit)
-	k.usual.add(now, load, work, usualLoadTimeConstant)
-	estimates.load.add(now, load, work, usualLoadTimeConstant)
+	load, work := min(maxReportedLoad, float64(f.InFlight)/float64(f.Limit)), k.reportedWork/float64(f.Limit)
+	estimates.load[k.side].add(now, load, work)
 }
 
 // centre shifts the slowness of all targets with samples to the mean 0, as a logarithm, and the cost of the classes accordingly.
--- a/hemlockselection/selector.go
+++ b/hemlockselection/selector.go
@@ -85,10 +85,13 @@
 			}
 			groups[target.Service] = g
 		}
+		e.group = g
 		if target.Zone == s.zone {
 			g.own = append(g.own, e)
+			e.cost.side = 0
 		} else {
 			g.other = append(g.other, e)
+			e.cost.side = 1
 		}
 	}
 	for _, g := range groups {
@@ -171,7 +174,7 @@
 	if e == nil {
 		return hemlockcall.Target{}, &Error{Operation: "pick target", Kind: KindNoTarget}
 	}
-	s.begin(now, e, class)
+	e.begin(now, class)
 	return e.target, nil
 }
 
@@ -184,14 +187,14 @@
 	if e == nil || !e.eligible(nil) {
 		return false
 	}
-	s.begin(now, e, class)
+	e.begin(now, class)
 	return true
 }
 
 // begin counts a call as in flight. It is called with the lock held.
-func (s *Selector) begin(now time.Time, e *entry, class string) {
-	if g := s.groups[e.target.Service]; g.estimates != nil {
-		e.cost.begin(now, g.estimates.classOf(class), e.inFlight)
+func (e *entry) begin(now time.Time, class string) {
+	if e.group.estimates != nil {
+		e.cost.begin(now, e.group.estimates.classOf(class), e.inFlight)
 	}
 	e.inFlight++
 }
@@ -208,8 +211,8 @@
 	if e := s.entries[address]; e != nil {
 		e.rateLimit = s.reports[address].RateLimit
 		e.recordResult(now, r)
-		if g := s.groups[e.target.Service]; g.estimates != nil {
-			e.learn(now, g, g.estimates.classOf(class), r)
+		if e.group.estimates != nil {
+			e.learn(now, e.group.estimates.classOf(class), r)
 		}
 	}
 }
@@ -220,8 +223,8 @@
 	defer s.mutex.Unlock()
 	if e := s.entries[address]; e != nil {
 		e.inFlight = max(0, e.inFlight-1)
-		if g := s.groups[e.target.Service]; g.estimates != nil {
-			e.cost.end(g.estimates.classOf(class))
+		if e.group.estimates != nil {
+			e.cost.end(e.group.estimates.classOf(class))
 		}
 	}
 }
--- a/hemlockselection/selector_test.go
+++ b/hemlockselection/selector_test.go
@@ -11,12 +11,25 @@
 var start = time.Unix(1000, 0)
 
 func newSelector(targets ...hemlockcall.Target) *Selector {
+	return newSelectorBy(PlacementLoad, targets...)
+}
+
+func newSelectorBy(placement Placement, targets ...hemlockcall.Target) *Selector {
 	random := rand.New(rand.NewPCG(1, 2))
-	s := New("a", random.IntN)
+	s := New("a", random.IntN, WithPlacement(placement))
 	s.Replace(targets)
 	return s
 }
 
+// withEachPlacement runs a test with selectors of both placements.
+func withEachPlacement(t *testing.T, test func(*testing.T, func(...hemlockcall.Target) *Selector)) {
+	for _, p := range []Placement{PlacementLoad, PlacementCost} {
+		t.Run(string(p), func(t *testing.T) {
+			test(t, func(targets ...hemlockcall.Target) *Selector { return newSelectorBy(p, targets...) })
+		})
+	}
+}
+
 func target(address, zone string) hemlockcall.Target {
 	return hemlockcall.Target{Address: address, Zone: zone, Service: "s", Slots: 10, Ready: true}
 }
@@ -43,7 +56,9 @@
 		Feedback: hemlockcall.Feedback{InFlight: inFlight, Limit: 10}}
 }
 
-func TestPick(t *testing.T) {
+func TestPick(t *testing.T) { withEachPlacement(t, testPick) }
+
+func testPick(t *testing.T, newSelector func(...hemlockcall.Target) *Selector) {
 	t.Run("stays in the own zone while it has spare capacity", func(t *testing.T) {
 		counts := pickMany(t, newSelector(target("own", "a"), target("other", "b")), 200,
 			func(string) Result { return completed(20*time.Millisecond, 5) })
@@ -88,7 +103,9 @@
 	})
 }
 
-func TestPickAvailableTargets(t *testing.T) {
+func TestPickAvailableTargets(t *testing.T) { withEachPlacement(t, testPickAvailableTargets) }
+
+func testPickAvailableTargets(t *testing.T, newSelector func(...hemlockcall.Target) *Selector) {
 	t.Run("skips an unreachable target and tries it again later", func(t *testing.T) {
 		selector := newSelector(target("good", "a"), target("gone", "a"))
 		for range 20 {
--- a/hemlockselection/target.go
+++ b/hemlockselection/target.go
@@ -99,6 +99,7 @@
 	failures    float64       // moving average: the fraction of failed calls
 	failuresAt  time.Time     // when failures was last changed
 
+	group *group // that of the target's service
 	// cost is only used where targets are chosen by cost.
 	cost costState
 
