Give targets their full share that a starting node learns of first

Cause: a node that has just started learns of the members within seconds. Each target after the first counted as new, and the first one would have got most calls of the node for up to 3 s. A call that timed out counted as progress of its target, which hid that the target was frozen.

Change: no target counts as new within 5 s of the first choice in its service. Only a response or a refusal is progress.

Ruled out: a time of the start as an argument of New: services are first used at any time.

--- a/hemlockselection/cost_choice.go
+++ b/hemlockselection/cost_choice.go
@@ -80,6 +80,9 @@
 
 // chooseByCost is choose for PlacementCost.
 func (s *Selector) chooseByCost(now time.Time, g *group, class *classCost, tried []string) *entry {
+	if g.estimates.since.IsZero() {
+		g.estimates.since = now
+	}
 	own, reason := s.sooner(now, g, class, g.own, tried, true)
 	if own.entry != nil && s.isGoodEnough(now, own, class) {
 		s.choices[reason]++
--- a/hemlockselection/cost_test.go
+++ b/hemlockselection/cost_test.go
@@ -23,7 +23,12 @@
 		}
 		return float64(calls) / of.Seconds() / 1000
 	}
+	s.Replace(append(known, target("early", "a")))
 	share(time.Second)
+	if s.entries["early"].cost.isNew {
+		t.Error("a target that was found right after the start of the node counts as new")
+	}
+	share(settleTime)
 	s.Replace(append(known, target("new", "a")))
 	if early := share(500 * time.Millisecond); early < 0.01 || early > 0.1 {
 		t.Errorf("a new target gets %.2f of the calls, want 0.01 to 0.1", early)
--- a/hemlockselection/estimates.go
+++ b/hemlockselection/estimates.go
@@ -28,6 +28,9 @@
 	// starts with. Its caches are empty, and all nodes see an idle target at the same time.
 	gradualStart  = 3 * time.Second
 	minStartShare = 0.1
+	// settleTime is the time from the first choice in a service in which its targets do not count as new: a node that has just started
+	// learns of the members one by one, and would send its calls to the first ones.
+	settleTime = 5 * time.Second
 )
 
 // estimates is what the node has learned about one service. It is kept while the service has targets.
@@ -35,6 +38,8 @@
 	classes map[string]*classCost // by name; at most maxClasses+1
 	list    []*classCost          // by index
 	load    [2]meanLoad           // of the targets of the own zone and of all others
+	// since is when a target was chosen first; zero for never.
+	since time.Time
 	// centredAt is when the slowness of the targets was last centred.
 	centredAt time.Time
 }
@@ -71,7 +76,7 @@
 	side     int // 0 for a target of the own zone, 1 for any other
 	// inFlightOf counts the calls of this node that have not ended, by the index of their class.
 	inFlightOf []int32
-	// progressAt is when a call ended last, or when the first of the calls in flight began if none was in flight before.
+	// progressAt is when a call last ended by a response or a refusal, or when the first of the calls in flight began if none was in flight before.
 	progressAt time.Time
 	// reportedWork is the reported outstanding work in seconds at slowness 1, and ownWorkAtReport that of the calls of this node when
 	// the report arrived; the report includes them.
@@ -129,7 +134,9 @@
 // learn records the result of a call of the class. It is called after recordResult.
 func (e *entry) learn(now time.Time, class *classCost, r Result) {
 	e.cost.end(class)
-	e.cost.progressAt = now
+	if r.Outcome != TimedOut && r.Outcome != Cancelled { // neither is an act of the target
+		e.cost.progressAt = now
+	}
 	if r.Outcome == Completed && r.ServiceTime > 0 && !r.ErrorStatus {
 		deviation := class.add(now, e, math.Log(r.ServiceTime.Seconds()), e.cost.slowness.usual)
 		e.cost.slowness.add(now, deviation)
@@ -192,6 +199,10 @@
 	}
 	if e.cost.firstSeen.IsZero() {
 		e.cost.firstSeen = now
+		e.cost.isNew = now.Sub(e.group.estimates.since) >= settleTime
+	}
+	if !e.cost.isNew {
+		return 1
 	}
 	share := now.Sub(e.cost.firstSeen).Seconds() / gradualStart.Seconds()
 	e.cost.isNew = share < 1
