Document placement by cost: note, operations, comparison with other rules

Cause: the choice by cost had no note, and operators no description of the setting, the metric and the state dump.

--- a/hemlockcall/request.go
+++ b/hemlockcall/request.go
@@ -81,7 +81,7 @@
 	// Demands is what one run of the called class demands of other services; nil if it is unknown or was reported recently. The slice is
 	// not modified after it was set.
 	Demands []CallDemand
-	// Outstanding is the expected work of the calls that are running or queued at the called target; 0 means unknown.
+	// Outstanding is the expected work of the calls that are running or queued at the called target, at its usual speed; 0 means unknown.
 	Outstanding time.Duration
 }
 
--- a/hemlockselection/target.go
+++ b/hemlockselection/target.go
@@ -1,6 +1,8 @@
 // Package hemlockselection selects the target of each relayed call by expected time, load and failures. It prefers the
 // own availability zone. A call goes to another zone when the targets of the own one are nearly full, fail or are much
-// slower. The package does no I/O; time and randomness are arguments.
+// slower. With PlacementCost, the expected time follows from the cost of the call's class, the slowness of the target and the
+// outstanding work there; this answers classes that differ in cost, short episodes of slowness, slow nested services and frozen
+// targets. The package does no I/O; time and randomness are arguments.
 package hemlockselection
 
 import (
