Do not count time as lateness of a target in which no call of the class ended anywhere

Cause: while a nested service was stopped, the calls in flight were late at all targets that had calls of the node.

Change: a target is late only by the time in which calls of the same class ended at other targets. A target that is the only one with recent samples is late by all of the time.

Ruled out: the smallest lateness of all targets of the service as the common part; a scan of all targets for each choice.

After: at most 1 in 20 calls leaves the zone.

--- a/hemlockbench/placement_test.go
+++ b/hemlockbench/placement_test.go
@@ -75,3 +75,29 @@
 		t.Errorf("%d calls to a frozen target in two seconds, want at most 110", calls)
 	}
 }
+
+// Guards against calls that leave the zone because the runs at all targets wait for a nested service that has stopped: elsewhere they
+// would wait too.
+func TestStoppedNestedServiceKeepsCallsInTheZone(t *testing.T) {
+	r := newPlacementRun(placementScenarios()["few-calls"], hemlockselection.PlacementCost, bySelector)
+	r.runUntil(20 * time.Second)
+	queued := func() (own, other int) {
+		for _, target := range r.targets {
+			for _, c := range target.queue {
+				if c.entry.zone == target.zone {
+					own++
+				} else {
+					other++
+				}
+			}
+		}
+		return own, other
+	}
+	for _, target := range r.targets {
+		target.frozen = true
+	}
+	r.runUntil(24 * time.Second)
+	if own, other := queued(); other > own/20 {
+		t.Errorf("%d of %d calls left their zone, want at most a twentieth", other, own+other)
+	}
+}
--- a/hemlockselection/cost_choice.go
+++ b/hemlockselection/cost_choice.go
@@ -65,14 +65,22 @@
 }
 
 // overdue returns the factor by which a target is slower than its samples say, because none of its calls in flight has ended for much
-// longer than the slowest of them should take. A frozen target gives no samples.
+// longer than the slowest of them should take. A frozen target gives no samples. If the calls of that class have ended nowhere for some
+// time, this time does not count: their runs wait for the same nested service.
 func (e *entry) overdue(now time.Time, estimates *estimates, slowness, wait float64) float64 {
 	if e.inFlight == 0 || e.cost.progressAt.IsZero() {
 		return 1
 	}
-	_, highest := e.cost.ownWork(now, estimates)
-	expected := slowness * (wait + highest)
-	if waited := now.Sub(e.cost.progressAt).Seconds(); expected > 0 && waited > minOverdue*expected {
+	_, class := e.cost.ownWork(now, estimates)
+	if class == nil {
+		return 1
+	}
+	until := now
+	if len(class.residues) > 1 {
+		until = class.lastAt
+	}
+	expected := slowness * (wait + class.cost(now))
+	if waited := until.Sub(e.cost.progressAt).Seconds(); waited > minOverdue*expected {
 		return min(maxOverdueFactor, waited/expected)
 	}
 	return 1
--- a/hemlockselection/estimates.go
+++ b/hemlockselection/estimates.go
@@ -119,16 +119,20 @@
 	}
 }
 
-// ownWork returns the expected cost of the node's own calls in flight, and the highest cost of one of them.
-func (k *costState) ownWork(now time.Time, e *estimates) (sum, highest float64) {
+// ownWork returns the expected cost of the node's own calls in flight, and the class of the most expensive one; nil without any.
+func (k *costState) ownWork(now time.Time, e *estimates) (sum float64, slowest *classCost) {
+	highest := 0.0
 	for i, n := range k.inFlightOf {
-		if n > 0 {
-			cost := e.list[i].cost(now)
-			sum += float64(n) * cost
-			highest = max(highest, cost)
+		if n == 0 {
+			continue
+		}
+		cost := e.list[i].cost(now)
+		sum += float64(n) * cost
+		if cost > highest {
+			highest, slowest = cost, e.list[i]
 		}
 	}
-	return sum, highest
+	return sum, slowest
 }
 
 // learn records the result of a call of the class. It is called after recordResult.
