Do not use the limit of a report that is too old

Cause: the choice by cost used the limit of the last report however old it was. After one report of a limit of 1, the target counted as full at any time, got no call beside targets with free slots, and so sent no later report.

Change: without a report of the last second, the limit is 95% of the slots, as the gate uses them.

--- a/hemlockselection/cost_choice.go
+++ b/hemlockselection/cost_choice.go
@@ -13,6 +13,9 @@
 	// targets slow down by a factor of 1.3 above 95% of their slots, and all calls that run there take longer then.
 	fullLoad    = 0.8
 	fullPenalty = 0.5
+	// usableSlots is the fraction of its slots that a gate uses for calls. It replaces the limit of a report that is too old, because one
+	// report of a low limit would otherwise keep all calls, and with them all later reports, from its target.
+	usableSlots = 0.95
 )
 
 // assessment is what is expected of a call at one target.
@@ -46,8 +49,8 @@
 // occupancy returns the limit, the load with one more call, and the outstanding work in seconds at slowness 1. A report loses weight
 // with its age, and its place is taken by the mean of the targets of the own zone or of those of all others.
 func (e *entry) occupancy(now time.Time, estimates *estimates) (limit int, load, work float64) {
-	limit = max(1, e.target.Slots)
-	if e.feedback.Limit > 0 {
+	limit = max(1, int(float64(e.target.Slots)*usableSlots))
+	if e.hasRecentFeedback(now) {
 		limit = e.feedback.Limit
 	}
 	k := &e.cost
--- a/hemlockselection/cost_test.go
+++ b/hemlockselection/cost_test.go
@@ -60,3 +60,36 @@
 	second.Ended(now.Add(c), false)
 	want(c, 0)
 }
+
+// Guards against a target that gets no call again although it has recovered: without calls, nothing new is learned of it.
+func TestTargetIsTriedAgain(t *testing.T) {
+	run := func(s *Selector, now *time.Time, of time.Duration, resultOf func(address string, variation time.Duration) Result) (calls int) {
+		for end := now.Add(of); now.Before(end); *now = now.Add(10 * time.Millisecond) {
+			chosen, _ := s.Pick(*now, "s", "c", nil)
+			if chosen.Address == "1" {
+				calls++
+			}
+			variation := time.Duration(now.UnixMilli()/10*7919%2000) * time.Microsecond // a tenth: without it, all others are equal
+			s.Done(*now, chosen.Address, "c", resultOf(chosen.Address, variation))
+		}
+		return calls
+	}
+	usual := func(_ string, variation time.Duration) Result { return completed(20*time.Millisecond+variation, 0) }
+	for name, faulty := range map[string]Result{"reported one slot": {
+		ServiceTime: 20 * time.Millisecond, Feedback: hemlockcall.Feedback{Limit: 1}}} {
+		t.Run(name, func(t *testing.T) {
+			s, now := newSelectorBy(PlacementCost, target("1", "a"), target("2", "a"), target("3", "a"), target("4", "a")), start
+			run(s, &now, 10*time.Second, usual)
+			run(s, &now, 30*time.Second, func(address string, variation time.Duration) Result {
+				if address == "1" {
+					return faulty
+				}
+				return usual(address, variation)
+			})
+			run(s, &now, 5*time.Minute, usual)
+			if calls := run(s, &now, 10*time.Second, usual); calls < 50 {
+				t.Errorf("%d of 1000 calls five minutes after the fault, want at least 50", calls)
+			}
+		})
+	}
+}
