Let the long-term slowness of a target without samples drift to the mean

Cause: where targets have free slots, the slower of two is never chosen. A target that was slow for a time got no call and no sample afterwards, so its long-term slowness stayed: 0 of 30,000 calls in the five minutes after its recovery.

Change: after 30 s without a sample, the long-term slowness drifts to the mean of the service with a time constant of 30 s.

Result: TestTargetIsTriedAgain/slow gave 0 of 1000 calls before, and passes. TestPlacementComparison passes.

--- a/hemlockselection/cost_test.go
+++ b/hemlockselection/cost_test.go
@@ -75,7 +75,7 @@
 		return calls
 	}
 	usual := func(_ string, variation time.Duration) Result { return completed(20*time.Millisecond+variation, 0) }
-	for name, faulty := range map[string]Result{"reported one slot": {
+	for name, faulty := range map[string]Result{"slow": completed(60*time.Millisecond, 0), "reported one slot": {
 		ServiceTime: 20 * time.Millisecond, Feedback: hemlockcall.Feedback{Limit: 1}}} {
 		t.Run(name, func(t *testing.T) {
 			s, now := newSelectorBy(PlacementCost, target("1", "a"), target("2", "a"), target("3", "a"), target("4", "a")), start
--- a/hemlockselection/estimates.go
+++ b/hemlockselection/estimates.go
@@ -10,6 +10,11 @@
 const (
 	// centreInterval is how often the slowness of the targets of a service is shifted to the mean 1.
 	centreInterval = time.Second
+	// usualDriftDelay is the time without a sample after which the long-term slowness of a target drifts to the mean of the service, and
+	// usualDriftTime the time constant of the drift. The slowest target of a zone with free slots gets no calls, and without the drift it
+	// would get none after it has recovered either. Both are long, so that a target that stays slow gets few calls.
+	usualDriftDelay = 30 * time.Second
+	usualDriftTime  = 30 * time.Second
 	// meanLoadTimeConstant is the time constant of the mean load of the targets of a service, which is assumed where there is no recent
 	// report, and that of its drift to neutralLoad. An entry of a large deployment calls a given target every few seconds.
 	meanLoadTimeConstant = 3 * time.Second
@@ -168,13 +173,21 @@
 	estimates.load[k.side].add(now, load, work)
 }
 
-// centre shifts the slowness of all targets with samples to the mean 0, as a logarithm, and the cost of the classes accordingly.
+// centre shifts the slowness of all targets with samples to the mean 0, as a logarithm, and the cost of the classes accordingly. That of
+// targets without a sample for usualDriftDelay drifts to the mean.
 func (g *group) centre(now time.Time) {
+	kept := 1.0
+	if !g.estimates.centredAt.IsZero() {
+		kept = decay(now.Sub(g.estimates.centredAt), usualDriftTime)
+	}
 	g.estimates.centredAt = now
 	sum, count := 0.0, 0
 	for _, list := range [][]*entry{g.own, g.other} {
 		for _, e := range list {
 			if e.cost.slowness.samples > 0 {
+				if now.Sub(e.cost.slowness.recentAt) > usualDriftDelay {
+					e.cost.slowness.usual *= kept
+				}
 				sum += e.cost.slowness.usual
 				count++
 			}
