Do not let a call of a rare class hide a frozen target

Cause: the lateness of a target was judged by the most expensive class in flight there alone, and only for the time in which calls of that class ended elsewhere.

Change: the lateness is the longest one of any class in flight, from the start of its first call on, relative to the time of the most expensive one.

Result: TestRareClassDoesNotHideFrozenTarget fails before (slowness 1.00) and passes. The property test reads the count from the new struct; its assertion is the same.

--- a/hemlockselection/cost_choice.go
+++ b/hemlockselection/cost_choice.go
@@ -54,7 +54,7 @@
 		limit = e.feedback.Limit
 	}
 	k := &e.cost
-	own, _ := k.ownWork(now, estimates)
+	own := k.ownWork(now, estimates)
 	slots := float64(limit)
 	load, work = estimates.load[k.side].current(now)
 	load, work = max(float64(e.inFlight+1)/slots, load), max(own, work*slots)
@@ -68,22 +68,27 @@
 }
 
 // overdue returns the factor by which a target is slower than its samples say, because none of its calls in flight has ended for much
-// longer than the slowest of them should take. A frozen target gives no samples. If the calls of that class have ended nowhere for some
-// time, this time does not count: their runs wait for the same nested service.
+// longer than the slowest of them should take. A frozen target gives no samples. Time in which the calls of a class have ended nowhere
+// is no evidence for it: their runs wait for the same nested service. The calls of another class in flight may still be.
 func (e *entry) overdue(now time.Time, estimates *estimates, slowness, wait float64) float64 {
 	if e.inFlight == 0 || e.cost.progressAt.IsZero() {
 		return 1
 	}
-	_, class := e.cost.ownWork(now, estimates)
-	if class == nil {
-		return 1
-	}
-	until := now
-	if len(class.residues) > 1 {
-		until = class.lastAt
+	waited, cost := 0.0, 0.0
+	for i, calls := range e.cost.inFlightOf {
+		if calls.count == 0 {
+			continue
+		}
+		class, from, until := estimates.list[i], e.cost.progressAt, now
+		if calls.since.After(from) {
+			from = calls.since
+		}
+		if len(class.residues) > 1 {
+			until = class.lastAt
+		}
+		waited, cost = max(waited, until.Sub(from).Seconds()), max(cost, class.cost(now))
 	}
-	expected := slowness * (wait + class.cost(now))
-	if waited := until.Sub(e.cost.progressAt).Seconds(); waited > minOverdue*expected {
+	if expected := slowness * (wait + cost); waited > minOverdue*expected {
 		return min(maxOverdueFactor, waited/expected)
 	}
 	return 1
--- a/hemlockselection/cost_test.go
+++ b/hemlockselection/cost_test.go
@@ -93,3 +93,34 @@
 		})
 	}
 }
+
+// Guards against a frozen target that keeps its share because a call of a rare class is in flight there: the calls of that class have
+// not ended anywhere else either.
+func TestRareClassDoesNotHideFrozenTarget(t *testing.T) {
+	targets := []hemlockcall.Target{target("1", "a"), target("2", "a"), target("3", "a"), target("4", "a")}
+	s, now := newSelectorBy(PlacementCost, targets...), start
+	run := func(class string, serviceTime time.Duration) {
+		for i := range 400 {
+			now = now.Add(time.Millisecond)
+			address := targets[1+i%3].Address
+			s.Acquire(now, address, class)
+			s.Done(now, address, class, completed(serviceTime, 0))
+		}
+	}
+	run("rare", 200*time.Millisecond)
+	run("frequent", 20*time.Millisecond)
+	s.Acquire(now, "1", "rare")
+	s.Acquire(now, "1", "frequent")
+	for range 10 {
+		run("frequent", 20*time.Millisecond)
+	}
+	if slowness := s.Snapshot(now).Services[0].Targets[0].Slowness; slowness < 10 {
+		t.Errorf("slowness %.2f of a target at which no call has ended for 4 s, want at least 10", slowness)
+	}
+	s.Acquire(now, "2", "rare")
+	now = now.Add(time.Minute)
+	s.Acquire(now, "2", "frequent")
+	if slowness := s.Snapshot(now).Services[0].Targets[1].Slowness; slowness > 2 {
+		t.Errorf("slowness %.2f of a target whose calls of the frequent class have just begun, want at most 2", slowness)
+	}
+}
--- a/hemlockselection/estimates.go
+++ b/hemlockselection/estimates.go
@@ -79,8 +79,8 @@
 type costState struct {
 	slowness slowness
 	side     int // 0 for a target of the own zone, 1 for any other
-	// inFlightOf counts the calls of this node that have not ended, by the index of their class.
-	inFlightOf []int32
+	// inFlightOf holds the calls of this node that have not ended, by the index of their class.
+	inFlightOf []classInFlight
 	// progressAt is when a call last ended by a response or a refusal, or when the first of the calls in flight began if none was in flight before.
 	progressAt time.Time
 	// reportedWork is the reported outstanding work in seconds at slowness 1, and ownWorkAtReport that of the calls of this node when
@@ -91,6 +91,13 @@
 	firstSeen time.Time // zero until the target is considered for the first time
 }
 
+// classInFlight is the calls of one class that have not ended at one target.
+type classInFlight struct {
+	count int32
+	// since is when the first of them began; valid if count is above 0.
+	since time.Time
+}
+
 // classOf returns the cost of a class.
 func (e *estimates) classOf(name string) *classCost {
 	c := e.classes[name]
@@ -109,9 +116,13 @@
 // begin counts a call of this node as in flight.
 func (k *costState) begin(now time.Time, c *classCost, inFlight int) {
 	for len(k.inFlightOf) <= c.index {
-		k.inFlightOf = append(k.inFlightOf, 0)
+		k.inFlightOf = append(k.inFlightOf, classInFlight{})
 	}
-	k.inFlightOf[c.index]++
+	calls := &k.inFlightOf[c.index]
+	if calls.count == 0 {
+		calls.since = now
+	}
+	calls.count++
 	if inFlight == 0 || k.progressAt.IsZero() {
 		k.progressAt = now
 	}
@@ -119,25 +130,20 @@
 
 // end counts a call of this node as ended.
 func (k *costState) end(c *classCost) {
-	if c.index < len(k.inFlightOf) && k.inFlightOf[c.index] > 0 {
-		k.inFlightOf[c.index]--
+	if c.index < len(k.inFlightOf) && k.inFlightOf[c.index].count > 0 {
+		k.inFlightOf[c.index].count--
 	}
 }
 
-// ownWork returns the expected cost of the node's own calls in flight, and the class of the most expensive one; nil without any.
-func (k *costState) ownWork(now time.Time, e *estimates) (sum float64, slowest *classCost) {
-	highest := 0.0
-	for i, n := range k.inFlightOf {
-		if n == 0 {
-			continue
-		}
-		cost := e.list[i].cost(now)
-		sum += float64(n) * cost
-		if cost > highest {
-			highest, slowest = cost, e.list[i]
+// ownWork returns the expected cost of the node's own calls in flight.
+func (k *costState) ownWork(now time.Time, e *estimates) float64 {
+	sum := 0.0
+	for i, calls := range k.inFlightOf {
+		if calls.count > 0 {
+			sum += float64(calls.count) * e.list[i].cost(now)
 		}
 	}
-	return sum, slowest
+	return sum
 }
 
 // learn records the result of a call of the class. It is called after recordResult.
@@ -168,7 +174,7 @@
 		k.reportedWork = float64(f.InFlight) * class.cost(now) * minRemainingFraction
 	}
 	k.reportedWork = min(k.reportedWork, maxReportedWork.Seconds()*float64(f.Limit))
-	k.ownWorkAtReport, _ = k.ownWork(now, estimates)
+	k.ownWorkAtReport = k.ownWork(now, estimates)
 	load, work := min(maxReportedLoad, float64(f.InFlight)/float64(f.Limit)), k.reportedWork/float64(f.Limit)
 	estimates.load[k.side].add(now, load, work)
 }
--- a/hemlockselection/property_test.go
+++ b/hemlockselection/property_test.go
@@ -48,7 +48,7 @@
 			}
 			counted, want := int32(0), int32(0)
 			for _, n := range e.cost.inFlightOf {
-				counted += n
+				counted += n.count
 			}
 			for _, c := range calls {
 				if c.address == e.target.Address {
