Make the test of late calls fail without the start of a class in flight

The last assertion of TestRareClassDoesNotHideFrozenTarget held by the time of the last response alone. Another response ends now at the same time; with the start of the calls ignored, the test reports a slowness of 50.

--- a/hemlockselection/cost_test.go
+++ b/hemlockselection/cost_test.go
@@ -120,6 +120,8 @@
 	s.Acquire(now, "2", "rare")
 	now = now.Add(time.Minute)
 	s.Acquire(now, "2", "frequent")
+	s.Acquire(now, "3", "frequent")
+	s.Done(now, "3", "frequent", completed(20*time.Millisecond, 0))
 	if slowness := s.Snapshot(now).Services[0].Targets[1].Slowness; slowness > 2 {
 		t.Errorf("slowness %.2f of a target whose calls of the frequent class have just begun, want at most 2", slowness)
 	}
