--- a/hemlockselection/target.go
+++ b/hemlockselection/target.go
@@ -1,6 +1,8 @@
 // Package hemlockselection selects the target of each relayed call by expected time, load and failures. It prefers the
 // own availability zone. A call goes to another zone when the targets of the own one are nearly full, fail or are much
-// slower. The package does no I/O; time and randomness are arguments.
+// slower. With PlacementCost, the expected time follows from the cost of the call's class, the slowness of the target and the
+// outstanding work there; this answers classes that differ in cost, short episodes of slowness, slow nested services and frozen
+// targets. The package does no I/O; time and randomness are arguments.
 package hemlockselection
 
 import (
@@ -49,6 +51,8 @@
 	Outcome Outcome
 	// ServiceTime is the time that the target took; 0 without a response. Only that of a completed call is used.
 	ServiceTime time.Duration
+	// ErrorStatus means that the response states a failure: its service time says nothing about the cost of the call.
+	ErrorStatus bool
 	// Generation is the generation of the target that was called, for the outcome Leaving: 0 counts as the current one.
 	Generation uint64
 	// Feedback is what the target's node reported; its Limit is 0 without a report.
@@ -97,6 +101,10 @@
 	failures    float64       // moving average: the fraction of failed calls
 	failuresAt  time.Time     // when failures was last changed
 
+	group *group // that of the target's service
+	// cost is only used where targets are chosen by cost.
+	cost costState
+
 	unreachableUntil time.Time     // until when the target is skipped if another one can be picked
 	unreachablePause time.Duration // how long it was skipped the last time; 0 after a completed call
 }
