Learn the demands of call trees and admit new trees by them

Cause: a new call tree was admitted by the load of the busiest service, whether or not it calls that service, and important trees were never throttled at the entry.

Change: hemlockdemand attributes calls of a host to the runs at its target by their deadlines, and estimates the calls and the slot time of one run at each service. Gates report them in their feedback with the number of runs behind them, entries average the reports by that weight. hemlockbackpressure gets TreeLoad, by the services that a tree calls, and TreeThrottle, with an admitted fraction for each class and organisation rank. hemlockrelay connects them where an estimator is set; nothing sets one yet. New wire fields: slot time, weight of demands, age of refused fractions. A class that is served by two services is kept apart by service.

Ruled out: the estimates of the latest report replacing earlier ones, which would follow a single target; the runs since the start as the weight, which would count the same runs again with each report.

--- a/hemlockbackpressure/load_monitor.go
+++ b/hemlockbackpressure/load_monitor.go
@@ -95,11 +95,21 @@
 	MovingAverage
 	// highAt is when the load was last at least minHighLoad.
 	highAt time.Time
+	// refusals and missingUntil are recorded only for the admission by call trees.
+	refusals refusals
+	// missingUntil is the time until which the service counts as unreachable, because a call found no target.
+	missingUntil time.Time
 }
 
 // reportable reports whether the load is of interest to other nodes: it is high, or they may still take it for high.
 func (s *serviceLoad) reportable(now time.Time) bool {
-	return now.Sub(s.updatedAt) <= maxReportAge && now.Sub(s.highAt) <= relievedReportTime
+	return now.Sub(s.updatedAt) <= maxReportAge && now.Sub(s.highAt) <= relievedReportTime || s.refusals.reportable(now)
+}
+
+// report returns the load report for other nodes.
+func (s *serviceLoad) report(now time.Time, service string) hemlockcall.ServiceLoad {
+	return hemlockcall.ServiceLoad{Service: service, Load: s.value, Age: max(0, now.Sub(s.updatedAt)),
+		Refused: s.refusals.value(now), RefusedAge: min(max(0, now.Sub(s.refusals.measuredAt)), 2*maxRefusedAge)}
 }
 
 // noteHigh is called after each change.
@@ -144,33 +154,39 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for _, l := range loads {
-		if s, updatedAt := m.recordOf(l.Service), now.Add(-l.Age); updatedAt.After(s.updatedAt) {
+		s, updatedAt := m.recordOf(l.Service), now.Add(-l.Age)
+		if updatedAt.After(s.updatedAt) {
 			s.MovingAverage = MovingAverage{value: l.Load, updatedAt: updatedAt}
 			s.noteHigh()
 		}
+		s.refusals.merge(now, l.Refused, l.RefusedAge)
 	}
 }
 
 // HighLoads returns the load reports for other nodes: the services with a load of at least minHighLoad, now or in the last
-// relievedReportTime, the most loaded first and at most maxHighLoads; nil if there are none.
+// relievedReportTime, and those that refuse calls, the most loaded first and at most maxHighLoads; nil if there are none.
 func (m *LoadMonitor) HighLoads(now time.Time) []hemlockcall.ServiceLoad {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	var loads []hemlockcall.ServiceLoad
 	for name, s := range m.services {
 		if s.reportable(now) {
-			loads = append(loads, hemlockcall.ServiceLoad{Service: name, Load: s.value, Age: max(0, now.Sub(s.updatedAt))})
+			loads = append(loads, s.report(now, name))
 		}
 	}
 	if len(loads) > 1 {
 		slices.SortFunc(loads, func(a, b hemlockcall.ServiceLoad) int {
-			return cmp.Or(cmp.Compare(b.Load, a.Load), strings.Compare(a.Service, b.Service))
+			return cmp.Or(cmp.Compare(reportOrder(b), reportOrder(a)), strings.Compare(a.Service, b.Service))
 		})
 		loads = loads[:min(len(loads), maxHighLoads)]
 	}
 	return loads
 }
 
+// reportOrder returns the value by which load reports are ordered: the load, or for services that refuse calls, the load that their
+// refusals amount to.
+func reportOrder(l hemlockcall.ServiceLoad) float64 { return max(l.Load, unreachableLoad*l.Refused) }
+
 // recordOf returns the load record of a service and creates it if necessary. It is called with the lock held.
 func (m *LoadMonitor) recordOf(service string) *serviceLoad {
 	s := m.services[service]
--- /dev/null
+++ b/hemlockbackpressure/tree_load.go
@@ -0,0 +1,135 @@
+package hemlockbackpressure
+
+import (
+	"math"
+	"time"
+
+	"hemlockhollow/hemlockcall"
+)
+
+const (
+	// refusalTimeConstant is the time constant of the refused fraction of the nested calls of this host.
+	refusalTimeConstant = time.Second
+	// minRefusalSamples is the decayed number of nested calls from which the refused fraction is known.
+	minRefusalSamples = 5
+	// minRefused is the refused fraction from which a service is reported to other nodes. Three calls in four of a tree with 25 calls
+	// then fail, which is below minSuccess.
+	minRefused = 0.05
+	// maxRefusedAge is how long a refused fraction is valid. It is longer than that of a load, because held back trees make few calls.
+	maxRefusedAge = 2 * time.Second
+	// refusedReportWeight is the weight of one reported fraction against the recorded one. Each reporting node has measured few calls.
+	refusedReportWeight = 0.3
+	// failingTreeThreshold is the failed fraction of a class with known demands from which its call trees are held back. It corresponds
+	// to minSuccess: most of its failures are then not explained by the load or the refusals of a known service.
+	failingTreeThreshold = 1 - minSuccess
+)
+
+// refusals is how many calls of a service fail after all attempts because its targets refuse them.
+type refusals struct {
+	// failed and calls are decayed numbers of nested calls of this host.
+	failed, calls float64
+	lastCall      time.Time
+	// fraction is the measured or reported one, and measuredAt the time of its measurement.
+	fraction   float64
+	measuredAt time.Time
+}
+
+// add records the result of a nested call of this host.
+func (r *refusals) add(now time.Time, failed bool) {
+	factor := math.Exp(-max(0, now.Sub(r.lastCall).Seconds()) / refusalTimeConstant.Seconds())
+	r.failed, r.calls, r.lastCall = r.failed*factor, r.calls*factor+1, now
+	if failed {
+		r.failed++
+	}
+	if r.calls >= minRefusalSamples {
+		r.fraction, r.measuredAt = r.failed/r.calls, now
+	}
+}
+
+// merge averages in what another node has measured later than the recorded fraction. A report of an earlier measurement may be an echo
+// of this node's own.
+func (r *refusals) merge(now time.Time, fraction float64, age time.Duration) {
+	measuredAt := now.Add(-age)
+	if fraction <= 0 || !measuredAt.After(r.measuredAt) {
+		return
+	}
+	if r.valid(now) {
+		fraction = r.fraction + (fraction-r.fraction)*refusedReportWeight
+	}
+	r.fraction, r.measuredAt = fraction, measuredAt
+}
+
+func (r *refusals) valid(now time.Time) bool { return now.Sub(r.measuredAt) <= maxRefusedAge }
+
+// value returns the refused fraction; 0 if it is unknown.
+func (r *refusals) value(now time.Time) float64 {
+	if !r.valid(now) {
+		return 0
+	}
+	return r.fraction
+}
+
+// reportable reports whether other nodes are told the fraction.
+func (r *refusals) reportable(now time.Time) bool { return r.value(now) >= minRefused }
+
+// RecordNestedCall records the result of a nested call of this host after all attempts: whether it failed because the targets of its
+// service refuse calls.
+func (m *LoadMonitor) RecordNestedCall(now time.Time, service string, refused bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.recordOf(service).refusals.add(now, refused)
+}
+
+// RecordMissingService records that a call found no target of a service, which then counts as unreachable for a short time.
+func (m *LoadMonitor) RecordMissingService(now time.Time, service string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.recordOf(service).missingUntil = now.Add(missingTargetTime)
+}
+
+// TreeLoad is what decides on a new call tree whose demands are known.
+type TreeLoad struct {
+	// Load is that of the scarce service: the one with the highest load among those that the tree calls.
+	Load
+	// Demand is that of the tree at the scarce service.
+	Demand hemlockcall.CallDemand
+	// Success is the probability that no call of the tree fails because targets refuse it.
+	Success float64
+	// Refusing is the service whose refusals lower Success most; empty if there are none.
+	Refusing hemlockcall.CallDemand
+}
+
+// TreeLoad returns what decides on a new call tree of a class with the given demands. Only the services that the tree calls count. If
+// more call trees of the class fail than failingTreeThreshold, the load is at least one that rises with the failed fraction.
+func (m *LoadMonitor) TreeLoad(now time.Time, class string, demands []hemlockcall.CallDemand) TreeLoad {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	load := TreeLoad{Success: 1}
+	lowest := 1.0
+	for _, d := range demands {
+		s := m.services[d.Service]
+		if s == nil {
+			continue
+		}
+		value, age := s.Value(now), now.Sub(s.updatedAt)
+		if now.Before(s.missingUntil) {
+			value, age = unreachableLoad, 0
+		}
+		if value > load.Value {
+			load.Load, load.Demand = Load{Value: value, Cause: d.Service, Age: age}, d
+		}
+		if refused := s.refusals.value(now); refused > 0 {
+			success := math.Pow(1-refused, d.Calls)
+			load.Success *= success
+			if success < lowest {
+				lowest, load.Refusing = success, d
+			}
+		}
+	}
+	if f := m.failures[class]; f != nil {
+		if failed := f.value(now); failed > failingTreeThreshold && unreachableLoad*failed > load.Value {
+			load.Load, load.Demand = Load{Value: unreachableLoad * failed, Cause: "failing call trees"}, hemlockcall.CallDemand{}
+		}
+	}
+	return load
+}
--- a/hemlockcall/relay.go
+++ b/hemlockcall/relay.go
@@ -40,7 +40,8 @@
 	Idempotent bool
 	// Fingerprint is equal for calls with the same content from the same service.
 	Fingerprint uint64
-	// Organisation is the name of the customer that sent the call; empty for nested calls and without organisations.
+	// Organisation is the name of the customer that sent the call, or whose call's run makes this nested call; empty without
+	// organisations, and for nested calls whose parent is unknown.
 	Organisation string
 	// OrganisationRank orders organisations, before the priority of their calls; 0 is the most important.
 	OrganisationRank uint8
@@ -49,6 +50,8 @@
 	// Withdrawn is closed once the entry node has withdrawn the call: it must no longer be passed to the target. A call that was passed
 	// on before stays in flight. Nil means that the call is never withdrawn. It is not sent on the wire.
 	Withdrawn <-chan struct{}
+	// Connection identifies the connection of the peer that sent the call; 0 for calls of this node. It is not sent on the wire.
+	Connection uint64
 }
 
 // IsWithdrawn reports whether the call must no longer be passed to a target.
@@ -87,6 +90,13 @@
 	return &changed
 }
 
+// WithOrganisation returns a copy with the given organisation and its rank.
+func (r *RelayRequest) WithOrganisation(name string, rank uint8) *RelayRequest {
+	changed := *r
+	changed.Organisation, changed.OrganisationRank = name, rank
+	return &changed
+}
+
 // WithService returns a copy for another service.
 func (r *RelayRequest) WithService(service string) *RelayRequest {
 	changed := *r
--- a/hemlockcall/request.go
+++ b/hemlockcall/request.go
@@ -53,6 +53,9 @@
 	Age time.Duration
 	// Refused is the fraction of the calls of the service that fail after all attempts because its targets refuse them; 0 to 1.
 	Refused float64
+	// RefusedAge is the time since Refused was last measured. It differs from Age, because load and refusals are measured by different
+	// nodes.
+	RefusedAge time.Duration
 }
 
 // CallDemand is the demand of one run of a class on one service.
@@ -60,6 +63,9 @@
 	Service string
 	// Calls is the mean number of calls that a run makes there, with all nested ones; above 0.
 	Calls float64
+	// SlotTime is the mean time for which these calls hold slots of targets, all together; 0 means unknown. A slot is held while a run
+	// waits for its nested calls.
+	SlotTime time.Duration
 }
 
 // Feedback is what the called side reports at the end of a response or with a refusal.
@@ -81,6 +87,8 @@
 	// Demands is what one run of the called class demands of other services; nil if it is unknown or was reported recently. The slice is
 	// not modified after it was set.
 	Demands []CallDemand
+	// DemandRuns is the number of runs since the previous report of Demands to the same peer: the weight of this one; 0 without Demands.
+	DemandRuns int
 	// Outstanding is the expected work of the calls that are running or queued at the called target; 0 means unknown.
 	Outstanding time.Duration
 }
--- a/hemlockpeer/carry_stream.go
+++ b/hemlockpeer/carry_stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"hemlockhollow/hemlockcall"
 	"hemlockhollow/hemlockerror"
@@ -43,6 +44,8 @@
 type carryStream struct {
 	server *Server
 	queue  *sendQueue
+	// number identifies the connection among all of this process; never 0.
+	number uint64
 	// incomplete are the calls whose body is being received, by their number. Only the receiving goroutine uses it.
 	incomplete map[uint64]*incompleteCall
 
@@ -53,8 +56,11 @@
 	withdrawn chan struct{}
 }
 
+// lastCarryStream is the number of the latest Carry stream of this process.
+var lastCarryStream atomic.Uint64
+
 func newCarryStream(server *Server) *carryStream {
-	return &carryStream{server: server, queue: newSendQueue(), cancels: map[uint64]context.CancelFunc{},
+	return &carryStream{server: server, queue: newSendQueue(), number: lastCarryStream.Add(1), cancels: map[uint64]context.CancelFunc{},
 		incomplete: map[uint64]*incompleteCall{}, withdrawn: make(chan struct{})}
 }
 
@@ -154,7 +160,7 @@
 	call := decodeRelayRequest(received.head)
 	call.Body = received.body
 	ctx, cancel := context.WithTimeout(ctx, call.Remaining)
-	call.Withdrawn = c.withdrawn
+	call.Withdrawn, call.Connection = c.withdrawn, c.number
 	c.mutex.Lock()
 	c.cancels[number] = cancel
 	c.mutex.Unlock()
--- a/hemlockpeer/head.go
+++ b/hemlockpeer/head.go
@@ -165,6 +165,7 @@
 		Loads:    encodeLoads(feedback.Loads),
 		Target:   encodeTargetReport(feedback.Target),
 		Demands:  encodeDemands(feedback.Demands), OutstandingMicroseconds: microseconds(feedback.Outstanding),
+		DemandRuns: uint32(min(max(feedback.DemandRuns, 0), maxDemandRuns)),
 	}
 }
 
@@ -181,6 +182,10 @@
 	maxFeedbackDemands = 16
 	// maxCalls is the largest number of calls of one run at one service that is sent or accepted.
 	maxCalls = 1000
+	// maxSlotTime is the largest slot time of one run at one service that is sent or accepted.
+	maxSlotTime = time.Hour
+	// maxDemandRuns is the largest weight of a report of demands, so that no peer outweighs all others by a wrong one.
+	maxDemandRuns = 1000
 )
 
 func encodeLoads(loads []hemlockcall.ServiceLoad) []*hemlockwire.ServiceLoad {
@@ -190,9 +195,10 @@
 	wire := make([]*hemlockwire.ServiceLoad, 0, len(loads))
 	for _, l := range loads[:min(len(loads), maxFeedbackLoads)] {
 		wire = append(wire, &hemlockwire.ServiceLoad{Service: l.Service,
-			LoadPercent:     uint32(min(max(l.Load, 0), maxLoad) * percent),
-			AgeMilliseconds: uint32(min(max(l.Age, 0), maxDuration) / time.Millisecond),
-			RefusedPermille: uint32(min(max(l.Refused, 0), 1) * permille)})
+			LoadPercent:            uint32(min(max(l.Load, 0), maxLoad) * percent),
+			AgeMilliseconds:        uint32(min(max(l.Age, 0), maxDuration) / time.Millisecond),
+			RefusedPermille:        uint32(min(max(l.Refused, 0), 1) * permille),
+			RefusedAgeMilliseconds: uint32(min(max(l.RefusedAge, 0), maxDuration) / time.Millisecond)})
 	}
 	return wire
 }
@@ -210,7 +216,7 @@
 		loads = append(loads, hemlockcall.ServiceLoad{Service: l.GetService(),
 			Load:    min(float64(l.GetLoadPercent())/percent, maxLoad),
 			Age:     time.Duration(l.GetAgeMilliseconds()) * time.Millisecond,
-			Refused: min(float64(l.GetRefusedPermille())/permille, 1)})
+			Refused: min(float64(l.GetRefusedPermille())/permille, 1), RefusedAge: time.Duration(l.GetRefusedAgeMilliseconds()) * time.Millisecond})
 	}
 	return loads
 }
@@ -221,7 +227,8 @@
 	}
 	wire := make([]*hemlockwire.CallDemand, 0, len(demands))
 	for _, d := range demands[:min(len(demands), maxFeedbackDemands)] {
-		wire = append(wire, &hemlockwire.CallDemand{Service: d.Service, CallsPermille: uint32(min(max(d.Calls, 0), maxCalls) * permille)})
+		wire = append(wire, &hemlockwire.CallDemand{Service: d.Service, CallsPermille: uint32(min(max(d.Calls, 0), maxCalls) * permille),
+			SlotMicroseconds: microseconds(min(d.SlotTime, maxSlotTime))})
 	}
 	return wire
 }
@@ -237,7 +244,8 @@
 			continue
 		}
 		demands = append(demands, hemlockcall.CallDemand{Service: d.GetService(),
-			Calls: min(float64(d.GetCallsPermille())/permille, maxCalls)})
+			Calls:    min(float64(d.GetCallsPermille())/permille, maxCalls),
+			SlotTime: min(fromMicroseconds(d.GetSlotMicroseconds()), maxSlotTime)})
 	}
 	return demands
 }
@@ -255,6 +263,7 @@
 		Loads:         decodeLoads(feedback.GetLoads()),
 		Target:        decodeTargetReport(feedback.GetTarget()),
 		Demands:       decodeDemands(feedback.GetDemands()),
+		DemandRuns:    int(min(feedback.GetDemandRuns(), maxDemandRuns)),
 		Outstanding:   fromMicroseconds(feedback.GetOutstandingMicroseconds()),
 	}, nil
 }
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -54,6 +54,8 @@
 	throttle  *hemlockbackpressure.Throttle
 	latencies *latencies
 	drain     *hemlockdrain.Drain
+	// trees is nil if the busiest service decides on all new call trees.
+	trees *callTrees
 }
 
 // EntryOption configures an Entry.
@@ -86,6 +88,9 @@
 // an entry of a large deployment starts few call trees.
 func (e *Entry) ObserveLoads(now time.Time) {
 	e.throttle.Observe(now, func(firstService string) hemlockbackpressure.Load { return e.monitor.MaxLoad(now, firstService) })
+	if e.trees != nil {
+		e.trees.observe(now, e.monitor)
+	}
 }
 
 // mayBegin reports whether an attempt of a class with the given deadline may begin with regard to the planned stop of this process.
@@ -99,7 +104,11 @@
 	error) {
 	arrival := time.Now()
 	deadline := arrival.Add(call.Remaining)
-	if refusal := e.admit(arrival, call); refusal != nil {
+	nested := false
+	if e.trees != nil {
+		call, nested = e.trees.attribute(arrival, call, deadline)
+	}
+	if refusal := e.admit(arrival, call, nested); refusal != nil {
 		e.observer.Refused(SideEntry, call, refusal, 0)
 		return nil, refusal
 	}
@@ -107,8 +116,12 @@
 	defer cancel()
 	a := &attempts{entry: e, call: call, deadline: deadline, maxTargets: max(targetLimit, 1)}
 	response, err := a.run(ctx)
-	e.monitor.RecordCallTreeResult(time.Now(), call.Class,
+	ended := time.Now()
+	e.monitor.RecordCallTreeResult(ended, call.Class,
 		err != nil && ctx.Err() == nil || err == nil && response.Status >= minServerError)
+	if nested && ctx.Err() == nil {
+		e.recordNested(ended, call, err)
+	}
 	if err != nil {
 		refusal := adviseRetryAfter(hemlockcall.AsRefusal(err), time.Until(deadline))
 		e.observer.Refused(SideEntry, call, refusal, time.Since(arrival))
@@ -127,10 +140,18 @@
 )
 
 // admit refuses new call trees (customer requests with all nested calls that their runs make) while a service that they
-// may reach has no spare capacity. It returns nil for an admitted call. Important calls are left to the gates: they are
-// the last calls of a tree, for which the upstream work has been done already, or go directly to a service deep in the
-// call graph.
-func (e *Entry) admit(now time.Time, call *hemlockcall.RelayRequest) *hemlockcall.Refusal {
+// may reach has no spare capacity. It returns nil for an admitted call. Nested calls are admitted where they are known to be
+// nested. Where the demands of a call tree are unknown, important calls are left to the gates: they are the last calls of a
+// tree, for which the upstream work has been done already, or go directly to a service deep in the call graph.
+func (e *Entry) admit(now time.Time, call *hemlockcall.RelayRequest, nested bool) *hemlockcall.Refusal {
+	if nested {
+		return nil
+	}
+	if e.trees != nil {
+		if refusal, decided := e.admitTree(now, call); decided {
+			return refusal
+		}
+	}
 	if call.Priority == hemlockcall.Important {
 		return nil
 	}
@@ -139,10 +160,14 @@
 		return nil
 	}
 	admitted := e.throttle.AdmittedFraction(call.Priority, call.Service)
+	return refuseOverload(call, fmt.Sprintf("no spare capacity for new call trees: load %.2f (%s), %.0f%% admitted",
+		load.Value, load.Cause, 100*admitted), admitted)
+}
+
+// refuseOverload returns the refusal of a new call tree, of whose kind the given fraction is admitted.
+func refuseOverload(call *hemlockcall.RelayRequest, detail string, admitted float64) *hemlockcall.Refusal {
 	wait := baseRetryAfter + time.Duration(float64(extraRetryAfter)*(1-admitted))
-	return hemlockcall.Refuse(hemlockcall.ReasonOverload, fmt.Sprintf(
-		"no spare capacity for new call trees: load %.2f (%s), %.0f%% admitted", load.Value, load.Cause, 100*admitted)).
-		WithRetryAfter(min(wait, call.Remaining/3))
+	return hemlockcall.Refuse(hemlockcall.ReasonOverload, detail).WithRetryAfter(min(wait, call.Remaining/3))
 }
 
 // adviseRetryAfter sets when a client should retry a call that was refused before execution; other refusals stay as
@@ -198,7 +223,7 @@
 		address, ok := a.nextAddress(now)
 		if !ok {
 			if len(a.tried) == 0 {
-				a.entry.monitor.RecordMissingTarget(time.Now())
+				a.entry.recordMissingTarget(now, a.call.Service)
 			}
 			return nil, a.finalRefusal(hemlockcall.Refuse(hemlockcall.ReasonUnavailable, "no target is ready"))
 		}
@@ -274,6 +299,9 @@
 func (e *Entry) recordResult(now time.Time, address string, call *hemlockcall.RelayRequest, r hemlockselection.Result) {
 	e.selector.Done(now, address, r)
 	e.monitor.MergeLoads(now, r.Feedback.Loads)
+	if e.trees != nil {
+		e.trees.estimator.Merge(now, classOf(call), r.Feedback.Demands, r.Feedback.DemandRuns)
+	}
 	if r.Feedback.Limit > 0 {
 		e.monitor.RecordLoad(now, call.Service, float64(r.Feedback.InFlight)/float64(r.Feedback.Limit))
 	}
--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -10,6 +10,7 @@
 
 	"hemlockhollow/hemlockadmission"
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockdemand"
 	"hemlockhollow/hemlockdrain"
 	"hemlockhollow/hemlocksuspect"
 )
@@ -47,6 +48,8 @@
 
 	drain     *hemlockdrain.Drain
 	latencies *latencies
+	// estimator is nil if demands are not learned.
+	estimator *hemlockdemand.Estimator
 
 	// mutex is locked before the mutex of the controller.
 	mutex sync.Mutex
@@ -151,8 +154,10 @@
 		return nil, refusal.WithFeedback(g.feedback(call))
 	}
 	started := time.Now()
+	run := g.startRun(call, arrival.Add(call.Remaining))
 	response, err := g.run(ctx, call, arrival)
 	ended := time.Now()
+	g.endRun(ended, run, err == nil && response.Status < minServerError, ended.Sub(started))
 	g.controller.Finish(ended, ticket, hemlockadmission.Outcome{
 		Result: g.resultOf(response, err), ServiceTime: ended.Sub(started)})
 	if err != nil {
@@ -173,8 +178,9 @@
 	now := time.Now()
 	s := g.controller.Snapshot(now)
 	inUse, limit := loadOf(s)
+	demands, runs := g.reportDemands(now, call)
 	return hemlockcall.Feedback{MinPriority: s.MinPriority, InFlight: inUse, Limit: limit, Loads: g.loadSource(now),
-		Target: g.reportFor(call)}
+		Target: g.reportFor(call), Demands: demands, DemandRuns: runs}
 }
 
 // admit waits until the call may run, or returns a refusal. The caller must pass the ticket to Finish.
