--- a/hemlockbackpressure/tree_load.go
+++ b/hemlockbackpressure/tree_load.go
@@ -12,8 +12,8 @@
 	refusalTimeConstant = time.Second
 	// minRefusalSamples is the decayed number of nested calls from which the refused fraction is known.
 	minRefusalSamples = 5
-	// minRefused is the refused fraction from which a service is reported to other nodes. Three calls in four of a tree with 25 calls
-	// then fail, which is below minSuccess.
+	// minRefused is the refused fraction from which a service is reported to other nodes. Trees with 27 calls there then succeed with the
+	// probability minSuccess.
 	minRefused = 0.05
 	// maxRefusedAge is how long a refused fraction is valid. It is longer than that of a load, because held back trees make few calls.
 	maxRefusedAge = 2 * time.Second
--- a/hemlockbackpressure/tree_throttle.go
+++ b/hemlockbackpressure/tree_throttle.go
@@ -26,7 +26,7 @@
 	treeGain = 0.3
 	// trendGain is the relative change in one step for each unit by which the load has changed since the last step. It damps the
 	// oscillation of a queue, whose length follows the admitted fraction with a delay.
-	trendGain = 0.4
+	trendGain = 0.3
 	// maxTreeChange limits the relative change in one step.
 	maxTreeChange = 0.25
 )
@@ -36,12 +36,14 @@
 
 // treeSetpoints are the load of the scarce service at which trees are throttled, by organisation rank and priority. The ranges do not
 // overlap, so that the rank precedes the priority, and the priority the slot time: while trees of one range are throttled, all trees of
-// higher ranges are admitted. Rank 1 is the one without organisations; its sheddable trees are refused just before all slots are in use.
-// Load above 1 is a queue, in which the gate lets the more important calls pass.
+// higher ranges are admitted. Rank 1 is the one without organisations; its sheddable trees are throttled once all slots are in use, so
+// that a short queue bridges the delay until admitted trees reach the service. Load above 1 is a queue, in which the gate lets the more
+// important calls pass. The ranges of a higher priority are wide apart, because a burst of 1.2 times the capacity at a service with runs
+// of 55 ms raises the load to 2 before the throttle reacts. Those of rank 2 are below 1, where the other ranks have free slots left.
 var treeSetpoints = [maxTreeRank + 1][hemlockcall.PriorityCount]setpointRange{
-	0: {hemlockcall.Sheddable: {1.9, 2.1}, hemlockcall.Important: {2.3, 2.5}, hemlockcall.Critical: {2.8, 3}},
-	1: {hemlockcall.Sheddable: {0.93, 1.03}, hemlockcall.Important: {1.15, 1.3}, hemlockcall.Critical: {1.45, 1.65}},
-	2: {hemlockcall.Sheddable: {0.75, 0.79}, hemlockcall.Important: {0.81, 0.85}, hemlockcall.Critical: {0.87, 0.91}},
+	0: {hemlockcall.Sheddable: {2.6, 2.8}, hemlockcall.Important: {3.2, 3.4}, hemlockcall.Critical: {3.8, 4}},
+	1: {hemlockcall.Sheddable: {1, 1.3}, hemlockcall.Important: {1.6, 1.8}, hemlockcall.Critical: {2.1, 2.4}},
+	2: {hemlockcall.Sheddable: {0.82, 0.86}, hemlockcall.Important: {0.88, 0.92}, hemlockcall.Critical: {0.94, 0.98}},
 }
 
 const (
--- a/hemlockdemand/demands.go
+++ b/hemlockdemand/demands.go
@@ -59,7 +59,10 @@
 	return mean
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds limits the duration to maxSlotTime.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, maxSlotTime.Seconds()) * float64(time.Second))
+}
 
 // Merge merges the demands of a class that a callee node has reported, with the number of runs behind them. Reports of many nodes are
 // averaged, each weighted by its runs; the weights decay.
@@ -241,7 +244,7 @@
 		s.Trees = append(s.Trees, c)
 	}
 	for name, c := range e.called {
-		if !c.expired(now) && c.nested() {
+		if !c.expired(now) && c.certain() && c.nested() {
 			s.NestedClasses = append(s.NestedClasses, name)
 		}
 	}
--- a/hemlockdemand/estimator.go
+++ b/hemlockdemand/estimator.go
@@ -123,11 +123,14 @@
 	calls int
 }
 
-// nested reports whether the calls of the class are nested ones. They are not known to be before minNestedCalls.
+// nested reports whether the calls of the class are nested ones; see certain.
 func (c *calledClass) nested() bool {
-	return c.calls >= minNestedCalls && c.attributed >= minNestedFraction*(c.attributed+c.other)
+	return c.attributed > 0 && c.attributed >= minNestedFraction*(c.attributed+c.other)
 }
 
+// certain reports whether there were enough calls to tell whether the class is nested.
+func (c *calledClass) certain() bool { return c.calls >= minNestedCalls }
+
 // Estimator holds the estimates of one node. It is safe for concurrent use.
 type Estimator struct {
 	mutex sync.Mutex
@@ -218,11 +221,11 @@
 	r := e.nearest(deadline)
 	if r == nil {
 		c.other++
-		return Run{}, c.nested()
+		return Run{}, c.certain() && c.nested()
 	}
 	c.attributed++
 	r.calls = addCalls(r.calls, class, 1)
-	if c.calls >= minNestedCalls && !c.nested() {
+	if c.certain() && !c.nested() {
 		return Run{}, false // a customer request whose deadline equals that of a run by chance
 	}
 	return r.Run, true
