--- a/hemlockbackpressure/load_monitor.go
+++ b/hemlockbackpressure/load_monitor.go
@@ -108,8 +108,11 @@
 
 // report returns the load report for other nodes.
 func (s *serviceLoad) report(now time.Time, service string) hemlockcall.ServiceLoad {
-	return hemlockcall.ServiceLoad{Service: service, Load: s.value, Age: max(0, now.Sub(s.updatedAt)),
-		Refused: s.refusals.value(now), RefusedAge: min(max(0, now.Sub(s.refusals.measuredAt)), 2*maxRefusedAge)}
+	load := hemlockcall.ServiceLoad{Service: service, Load: s.value, Age: max(0, now.Sub(s.updatedAt))}
+	if refused := s.refusals.value(now); refused > 0 {
+		load.Refused, load.RefusedAge = refused, max(0, now.Sub(s.refusals.measuredAt))
+	}
+	return load
 }
 
 // noteHigh is called after each change.
--- a/hemlockcommand/command.go
+++ b/hemlockcommand/command.go
@@ -20,7 +20,7 @@
 	Node func(ctx context.Context, settings hemlocknode.Settings) error
 	// Sidecar runs a node as the sidecar of a target on the users' platform, with the platform's settings file, until
 	// the context ends.
-	Sidecar func(ctx context.Context) error
+	Sidecar func(ctx context.Context, settings SidecarSettings) error
 	// Store returns the configuration store of the platform at a base URL, such as http://10.0.0.1:7000. Nil means that
 	// this build has no platform client.
 	Store func(platform string) (hemlockconfiguration.Store, error)
--- a/hemlockdemand/demands.go
+++ b/hemlockdemand/demands.go
@@ -154,8 +154,12 @@
 const (
 	// reportInterval is the minimum time between two reports of the demands of a class to one peer.
 	reportInterval = 500 * time.Millisecond
-	// maxReports limits the number of peers and classes with a record of the last report.
-	maxReports = 4096
+	// reportsPerSecond limits the reports to all peers together. A report takes up to 180 bytes with seven services, and control messages
+	// of a node may take 7 KB/s. At 1,500 nodes, each peer calls a target so rarely that reportInterval alone would not limit them.
+	reportsPerSecond = 20
+	// maxReports limits the number of peers and classes with a record of the last report. Within maxAge, there are at most
+	// reportsPerSecond times maxAge reports.
+	maxReports = 1024
 )
 
 // reportKey identifies what is reported to whom. A peer that connects again gets a report at once.
@@ -171,7 +175,8 @@
 }
 
 // Report returns the demands of a class for the peer with the given connection and the number of runs since the last report to it, by
-// which the peer weighs them. It returns nil if there was no run since then, or if the last report is more recent than reportInterval.
+// which the peer weighs them. It returns nil if there was no run since then, if the last report is more recent than reportInterval, or if
+// there were reportsPerSecond reports to all peers in the last second.
 func (e *Estimator) Report(now time.Time, connection uint64, class Class) ([]hemlockcall.CallDemand, int) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -188,7 +193,7 @@
 		last.completed = 0 // the record has expired and was created again
 	}
 	runs := min(float64(o.completed-last.completed), o.runs+0.5)
-	if runs < 1 {
+	if runs < 1 || !e.takeReportToken(now) {
 		return nil, 0
 	}
 	if !known && len(e.reports) >= maxReports {
@@ -205,6 +210,18 @@
 	return e.demands(now, class), int(runs)
 }
 
+// takeReportToken takes a token from a bucket that is refilled with reportsPerSecond and holds those of one second; false if it is empty.
+// It is called with the lock held.
+func (e *Estimator) takeReportToken(now time.Time) bool {
+	e.reportTokens = min(e.reportTokens+max(0, now.Sub(e.reportTokensAt).Seconds())*reportsPerSecond, reportsPerSecond)
+	e.reportTokensAt = now
+	if e.reportTokens < 1 {
+		return false
+	}
+	e.reportTokens--
+	return true
+}
+
 // ClassDemands are the demands of one class, for operators.
 type ClassDemands struct {
 	Class   string       `json:"class"`
--- a/hemlockdemand/estimator.go
+++ b/hemlockdemand/estimator.go
@@ -142,6 +142,9 @@
 	called  map[string]*calledClass
 	merged  map[Class]*mergedDemands
 	reports map[reportKey]report
+	// reportTokens are the reports that may be made now; see takeReportToken.
+	reportTokens   float64
+	reportTokensAt time.Time
 }
 
 // New returns an estimator without estimates.
--- a/hemlockdemand/estimator_test.go
+++ b/hemlockdemand/estimator_test.go
@@ -141,6 +141,38 @@
 	}
 }
 
+// Guards against reports that use the bandwidth of a node at which 1,500 peers call a class rarely, and against peers that get none.
+func TestReportsAreLimited(t *testing.T) {
+	e, class := New(), Class{"c", "s"}
+	random, count, peers := rand.New(rand.NewPCG(1, 2)), 0, map[uint64]bool{}
+	for i := range 4000 { // 400 calls per second
+		now := start.Add(time.Duration(i) * 2500 * time.Microsecond)
+		run(e, now, class, time.Millisecond)
+		peer := random.Uint64N(1500)
+		if demands, _ := e.Report(now, peer, class); demands != nil {
+			count++
+			peers[peer] = true
+		}
+	}
+	if count < 9*reportsPerSecond || count > 11*reportsPerSecond || len(peers) < count/2 || len(e.reports) > maxReports {
+		t.Errorf("%d reports to %d peers in 10 s, want about %d; %d records", count, len(peers), 10*reportsPerSecond, len(e.reports))
+	}
+}
+
+// BenchmarkRun measures what the gate does for a run with two nested calls, while 60 others are in flight.
+func BenchmarkRun(b *testing.B) {
+	e, class := New(), Class{"c", "s"}
+	for i := range 60 {
+		e.RunStarted(Run{Class: class, Deadline: start.Add(time.Duration(i) * 100 * time.Millisecond)})
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		run(e, now, class, time.Millisecond, Class{"n", "n"}, Class{"n", "n"})
+		e.Report(now, uint64(i%80), class)
+	}
+}
+
 // Guards against state that grows without limit, and against demands that are not finite, whatever calls, classes and reports arrive.
 func TestStateIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/main.go
+++ b/main.go
@@ -19,8 +19,10 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	command := hemlockcommand.Command{
-		Node:        hemlocknode.Run,
-		Sidecar:     hemlocksidecar.Main,
+		Node: hemlocknode.Run,
+		Sidecar: func(ctx context.Context, settings hemlockcommand.SidecarSettings) error {
+			return hemlocksidecar.Main(ctx, hemlocksidecar.WithAdmission(settings.Admission))
+		},
 		Store:       openStore,
 		LookupEnv:   os.LookupEnv,
 		Output:      os.Stdout,
