--- a/hemlockbackpressure/tree_load.go
+++ b/hemlockbackpressure/tree_load.go
@@ -22,6 +22,9 @@
 	// failingTreeThreshold is the failed fraction of a class with known demands from which its call trees are held back. It corresponds
 	// to minSuccess: most of its failures are then not explained by the load or the refusals of a known service.
 	failingTreeThreshold = 1 - minSuccess
+	// minTreeCalls is the number of calls of a tree at a service from which its load counts. A few calls may be attributed to a wrong run,
+	// and no tree is to be refused for a service that it does not call.
+	minTreeCalls = 0.1
 )
 
 // refusals is how many calls of a service fail after all attempts because its targets refuse them.
@@ -89,7 +92,7 @@
 
 // TreeLoad is what decides on a new call tree whose demands are known.
 type TreeLoad struct {
-	// Load is that of the scarce service: the one with the highest load among those that the tree calls.
+	// Load is that of the scarce service: the one with the highest load among those that the tree calls at least minTreeCalls times.
 	Load
 	// Demand is that of the tree at the scarce service.
 	Demand hemlockcall.CallDemand
@@ -115,7 +118,7 @@
 		if now.Before(s.missingUntil) {
 			value, age = unreachableLoad, 0
 		}
-		if value > load.Value {
+		if value > load.Value && d.Calls >= minTreeCalls {
 			load.Load, load.Demand = Load{Value: value, Cause: d.Service, Age: age}, d
 		}
 		if refused := s.refusals.value(now); refused > 0 {
--- a/hemlockbackpressure/tree_throttle.go
+++ b/hemlockbackpressure/tree_throttle.go
@@ -41,8 +41,8 @@
 // important calls pass. The ranges of a higher priority are wide apart, because a burst of 1.2 times the capacity at a service with runs
 // of 55 ms raises the load to 2 before the throttle reacts. Those of rank 2 are below 1, where the other ranks have free slots left.
 var treeSetpoints = [maxTreeRank + 1][hemlockcall.PriorityCount]setpointRange{
-	0: {hemlockcall.Sheddable: {2.6, 2.8}, hemlockcall.Important: {3.2, 3.4}, hemlockcall.Critical: {3.8, 4}},
-	1: {hemlockcall.Sheddable: {1, 1.3}, hemlockcall.Important: {1.6, 1.8}, hemlockcall.Critical: {2.1, 2.4}},
+	0: {hemlockcall.Sheddable: {2.9, 3.1}, hemlockcall.Important: {3.4, 3.6}, hemlockcall.Critical: {3.9, 4.1}},
+	1: {hemlockcall.Sheddable: {1, 1.3}, hemlockcall.Important: {1.9, 2.1}, hemlockcall.Critical: {2.4, 2.7}},
 	2: {hemlockcall.Sheddable: {0.82, 0.86}, hemlockcall.Important: {0.88, 0.92}, hemlockcall.Critical: {0.94, 0.98}},
 }
 
@@ -94,7 +94,7 @@
 
 // treeFraction is the admitted fraction of the trees of one kind.
 type treeFraction struct {
-	// fraction follows the load. It does not include the limits by share and by success.
+	// fraction follows the load, within the limits by share and by success.
 	fraction float64
 	credit   float64 // grows with each tree, up to 1; each admitted one takes 1
 	// lastLoad is the load at updatedAt, of the service lastCause.
@@ -126,7 +126,8 @@
 	f.update(now, load, tree.setpoint(load.Demand.SlotTime))
 	f.lastTree = now
 	t.decayCounts(now)
-	decision := TreeDecision{Fraction: t.admittedFraction(f, load), Probes: load.Success < minSuccess}
+	t.limit(f, load)
+	decision := TreeDecision{Fraction: f.fraction, Probes: load.Success < minSuccess}
 	f.credit = min(f.credit+decision.Fraction, 1)
 	// The tolerance is for sums of fractions such as 0.05, which do not add up to 1 exactly.
 	const tolerance = 1e-9
@@ -141,17 +142,19 @@
 	return decision
 }
 
-// admittedFraction returns the fraction of the trees of a kind that is admitted: it follows the load, but is no less than a share of the
-// fraction of all trees. Trees that are unlikely to succeed are only probes, whatever their share. It is called with the lock held.
-func (t *TreeThrottle) admittedFraction(f *treeFraction, load TreeLoad) float64 {
+// limit keeps the admitted fraction of a kind above a share of the fraction of all trees. Trees that are unlikely to succeed are only
+// probes, whatever their share. After that, their fraction rises gradually: the refusals of a service rise again with its calls, once they
+// exceed the retry budget. It is called with the lock held.
+func (t *TreeThrottle) limit(f *treeFraction, load TreeLoad) {
 	if load.Success < minSuccess {
-		return min(f.fraction, probeFraction)
+		f.fraction = min(f.fraction, probeFraction)
+		return
 	}
 	share := 1.0
 	if t.arrived > 0 {
 		share = t.admitted / t.arrived
 	}
-	return max(f.fraction, minShare*share)
+	f.fraction = max(f.fraction, minShare*share)
 }
 
 // decayCounts is called with the lock held.
--- a/hemlockdemand/demands.go
+++ b/hemlockdemand/demands.go
@@ -258,6 +258,7 @@
 			c.Demands = append(c.Demands, DemandView{Service: d.Service, Calls: d.Calls,
 				SlotMS: float64(d.SlotTime.Microseconds()) / 1000})
 		}
+		slices.SortFunc(c.Demands, func(a, b DemandView) int { return strings.Compare(a.Service, b.Service) })
 		s.Trees = append(s.Trees, c)
 	}
 	for name, c := range e.called {
--- a/hemlockrelay/call_trees.go
+++ b/hemlockrelay/call_trees.go
@@ -42,6 +42,16 @@
 	return call, nested
 }
 
+// admitCall returns the call with the organisation of its parent if it is a nested one, and a refusal if it is not admitted.
+func (e *Entry) admitCall(now time.Time, call *hemlockcall.RelayRequest, deadline time.Time) (*hemlockcall.RelayRequest, bool,
+	*hemlockcall.Refusal) {
+	nested := false
+	if e.trees != nil {
+		call, nested = e.trees.attribute(now, call, deadline)
+	}
+	return call, nested, e.admit(now, call, nested)
+}
+
 // admitTree decides on a new call tree by the services that it calls. It returns false while its demands are unknown.
 func (e *Entry) admitTree(now time.Time, call *hemlockcall.RelayRequest) (*hemlockcall.Refusal, bool) {
 	demands := e.trees.estimator.TreeDemands(now, classOf(call))
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -104,11 +104,8 @@
 	error) {
 	arrival := time.Now()
 	deadline := arrival.Add(call.Remaining)
-	nested := false
-	if e.trees != nil {
-		call, nested = e.trees.attribute(arrival, call, deadline)
-	}
-	if refusal := e.admit(arrival, call, nested); refusal != nil {
+	call, nested, refusal := e.admitCall(arrival, call, deadline)
+	if refusal != nil {
 		e.observer.Refused(SideEntry, call, refusal, 0)
 		return nil, refusal
 	}
