Ignore echoes of refused fractions despite their transit

Cause: a node accepted any reported fraction that was measured later than the recorded one. The age in a report lacks the transit and is rounded down to milliseconds, so a fraction appeared newer with each hop and stayed valid long after maxRefusedAge. Change: a report counts only if it was measured at least 100 ms later than the recorded fraction. Ruled out: adding an allowance to the age of each report, which shortens the validity of reports that are no echoes.

--- a/hemlockbackpressure/tree_load.go
+++ b/hemlockbackpressure/tree_load.go
@@ -19,6 +19,10 @@
 	maxRefusedAge = 2 * time.Second
 	// refusedReportWeight is the weight of one reported fraction against the recorded one. Each reporting node has measured few calls.
 	refusedReportWeight = 0.3
+	// minNewerRefusals is by how much a reported fraction must have been measured later than the recorded one to count. The age of a report
+	// does not include its transit and is rounded down to milliseconds, so an echo appears to be measured later with each hop: at 300
+	// messages per second and node with a transit of 5 ms, fractions stayed valid for 12 s in a simulation of 40 nodes.
+	minNewerRefusals = 100 * time.Millisecond
 	// failingTreeThreshold is the failed fraction of a class with known demands from which its call trees are held back. It corresponds
 	// to minSuccess: most of its failures are then not explained by the load or the refusals of a known service.
 	failingTreeThreshold = 1 - minSuccess
@@ -49,11 +53,10 @@
 	}
 }
 
-// merge averages in what another node has measured later than the recorded fraction. A report of an earlier measurement may be an echo
-// of this node's own.
+// merge averages in what another node has measured later than the recorded fraction. Any other report may be an echo.
 func (r *refusals) merge(now time.Time, fraction float64, age time.Duration) {
 	measuredAt := now.Add(-age)
-	if fraction <= 0 || !measuredAt.After(r.measuredAt) {
+	if fraction <= 0 || measuredAt.Sub(r.measuredAt) < minNewerRefusals {
 		return
 	}
 	if r.valid(now) {
