Limit unlikely call trees to probes between arrivals too

Cause: TreeThrottle.Observe changed the admitted fractions of rare kinds by the load alone. While a kind was admitted only as probes, its fraction rose to 1 between two arrivals, so that after the refusals all entries with rare trees admitted all of them at once, contrary to the gradual return that limit describes. Change: Observe applies the same limits as Admit. Its comment said that it is called with the lock held; loadOf is. Ruled out: nothing else.

--- a/hemlockbackpressure/tree_throttle.go
+++ b/hemlockbackpressure/tree_throttle.go
@@ -192,7 +192,7 @@
 }
 
 // Observe changes the admitted fractions of the kinds of which no tree has arrived for sparseInterval, as Throttle.Observe does. loadOf
-// returns false while the demands of the kind are unknown. It is called with the lock held.
+// returns false while the demands of the kind are unknown. loadOf is called with the lock held.
 func (t *TreeThrottle) Observe(now time.Time, loadOf func(tree Tree) (TreeLoad, bool)) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -202,6 +202,7 @@
 		}
 		if load, ok := loadOf(tree); ok {
 			f.update(now, load, tree.setpoint(load.Demand.SlotTime))
+			t.limit(f, load)
 		}
 	}
 }
--- a/hemlockbackpressure/tree_throttle_test.go
+++ b/hemlockbackpressure/tree_throttle_test.go
@@ -96,3 +96,16 @@
 		}
 	}
 }
+
+// Guards against trees that all start at once at the end of the refusals, at the entries where they are rare.
+func TestRareTreesReturnGraduallyAfterRefusals(t *testing.T) {
+	throttle, now, tree, refusing := NewTreeThrottle(), time.Unix(1000, 0), Tree{Rank: middleRank}, TreeLoad{Success: 0.01}
+	throttle.Admit(now, tree, refusing)
+	for range 50 {
+		now = now.Add(updateInterval)
+		throttle.Observe(now, func(Tree) (TreeLoad, bool) { return refusing, true })
+	}
+	if d := throttle.Admit(now.Add(updateInterval), tree, TreeLoad{Success: 1}); d.Fraction > 2*probeFraction {
+		t.Errorf("admitted fraction %.2f right after the refusals, want at most %.2f", d.Fraction, 2*probeFraction)
+	}
+}
