--- a/hemlockrelay/gate.go
+++ b/hemlockrelay/gate.go
@@ -10,6 +10,7 @@
 
 	"hemlockhollow/hemlockadmission"
 	"hemlockhollow/hemlockcall"
+	"hemlockhollow/hemlockdemand"
 	"hemlockhollow/hemlockdrain"
 	"hemlockhollow/hemlockselection"
 	"hemlockhollow/hemlocksuspect"
@@ -50,6 +51,8 @@
 	latencies *latencies
 	// work is nil if the gate does not report the outstanding work at its target.
 	work *hemlockselection.Work
+	// estimator is nil if demands are not learned.
+	estimator *hemlockdemand.Estimator
 
 	// mutex is locked before the mutex of the controller.
 	mutex sync.Mutex
@@ -162,9 +165,12 @@
 	}
 	started := time.Now()
 	work = work.Started(started)
+	run := g.startRun(call, arrival.Add(call.Remaining))
 	response, err := g.run(ctx, call, arrival)
 	ended := time.Now()
-	work.Ended(ended, err == nil && response.Status < minServerError)
+	succeeded := err == nil && response.Status < minServerError
+	work.Ended(ended, succeeded)
+	g.endRun(ended, run, succeeded, ended.Sub(started))
 	g.controller.Finish(ended, ticket, hemlockadmission.Outcome{
 		Result: g.resultOf(response, err), ServiceTime: ended.Sub(started)})
 	if err != nil {
@@ -185,8 +191,9 @@
 	now := time.Now()
 	s := g.controller.Snapshot(now)
 	inUse, limit := loadOf(s)
+	demands, runs := g.reportDemands(now, call)
 	return hemlockcall.Feedback{MinPriority: s.MinPriority, InFlight: inUse, Limit: limit, Loads: g.loadSource(now),
-		Target: g.reportFor(call), Outstanding: g.work.Outstanding(now)}
+		Target: g.reportFor(call), Demands: demands, DemandRuns: runs, Outstanding: g.work.Outstanding(now)}
 }
 
 // admit waits until the call may run, or returns a refusal. The caller must pass the ticket to Finish.
--- a/main.go
+++ b/main.go
@@ -21,7 +21,8 @@
 	command := hemlockcommand.Command{
 		Node: hemlocknode.Run,
 		Sidecar: func(ctx context.Context, settings hemlockcommand.SidecarSettings) error {
-			return hemlocksidecar.Main(ctx, hemlocksidecar.WithPlacement(settings.Placement))
+			return hemlocksidecar.Main(ctx, hemlocksidecar.WithAdmission(settings.Admission),
+				hemlocksidecar.WithPlacement(settings.Placement))
 		},
 		Store:       openStore,
 		LookupEnv:   os.LookupEnv,
