--- a/hemlockcommand/sidecar.go
+++ b/hemlockcommand/sidecar.go
@@ -31,13 +31,13 @@
 				return ok
 			},
 		},
-		{
-			name: "placement", description: "how targets are chosen", allowed: "load or cost; default load",
-			set: func(value string) bool {
-				settings.Placement = hemlockselection.Placement(value)
-				return settings.Placement.Valid()
-			},
-		}},
+			{
+				name: "placement", description: "how targets are chosen", allowed: "load or cost; default load",
+				set: func(value string) bool {
+					settings.Placement = hemlockselection.Placement(value)
+					return settings.Placement.Valid()
+				},
+			}},
 		run: func([]string) error { return c.Sidecar(ctx, settings) },
 	}
 }
