--- a/hemlockselection/selector_test.go
+++ b/hemlockselection/selector_test.go
@@ -11,12 +11,25 @@
 var start = time.Unix(1000, 0)
 
 func newSelector(targets ...hemlockcall.Target) *Selector {
+	return newSelectorBy(PlacementLoad, targets...)
+}
+
+func newSelectorBy(placement Placement, targets ...hemlockcall.Target) *Selector {
 	random := rand.New(rand.NewPCG(1, 2))
-	s := New("a", random.IntN)
+	s := New("a", random.IntN, WithPlacement(placement))
 	s.Replace(targets)
 	return s
 }
 
+// withEachPlacement runs a test with selectors of both placements.
+func withEachPlacement(t *testing.T, test func(*testing.T, func(...hemlockcall.Target) *Selector)) {
+	for _, p := range []Placement{PlacementLoad, PlacementCost} {
+		t.Run(string(p), func(t *testing.T) {
+			test(t, func(targets ...hemlockcall.Target) *Selector { return newSelectorBy(p, targets...) })
+		})
+	}
+}
+
 func target(address, zone string) hemlockcall.Target {
 	return hemlockcall.Target{Address: address, Zone: zone, Service: "s", Slots: 10, Ready: true}
 }
@@ -28,12 +41,12 @@
 	counts := map[string]int{}
 	for i := range count {
 		now := start.Add(time.Duration(i) * time.Millisecond)
-		chosen, err := selector.Pick(now, "s", nil)
+		chosen, err := selector.Pick(now, "s", "c", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		counts[chosen.Address]++
-		selector.Done(now, chosen.Address, resultOf(chosen.Address))
+		selector.Done(now, chosen.Address, "c", resultOf(chosen.Address))
 	}
 	return counts
 }
@@ -43,7 +56,9 @@
 		Feedback: hemlockcall.Feedback{InFlight: inFlight, Limit: 10}}
 }
 
-func TestPick(t *testing.T) {
+func TestPick(t *testing.T) { withEachPlacement(t, testPick) }
+
+func testPick(t *testing.T, newSelector func(...hemlockcall.Target) *Selector) {
 	t.Run("stays in the own zone while it has spare capacity", func(t *testing.T) {
 		counts := pickMany(t, newSelector(target("own", "a"), target("other", "b")), 200,
 			func(string) Result { return completed(20*time.Millisecond, 5) })
@@ -88,15 +103,17 @@
 	})
 }
 
-func TestPickAvailableTargets(t *testing.T) {
+func TestPickAvailableTargets(t *testing.T) { withEachPlacement(t, testPickAvailableTargets) }
+
+func testPickAvailableTargets(t *testing.T, newSelector func(...hemlockcall.Target) *Selector) {
 	t.Run("skips an unreachable target and tries it again later", func(t *testing.T) {
 		selector := newSelector(target("good", "a"), target("gone", "a"))
 		for range 20 {
-			chosen, err := selector.Pick(start, "s", []string{"good"})
+			chosen, err := selector.Pick(start, "s", "c", []string{"good"})
 			if err != nil {
 				t.Fatal(err)
 			}
-			selector.Done(start, chosen.Address, Result{Outcome: Unreachable})
+			selector.Done(start, chosen.Address, "c", Result{Outcome: Unreachable})
 		}
 		counts := pickMany(t, selector, 100, func(string) Result { return completed(20*time.Millisecond, 1) })
 		if counts["gone"] != 0 {
@@ -104,7 +121,7 @@
 		}
 		later := start.Add(2 * maxUnreachablePause)
 		for range 50 {
-			if chosen, _ := selector.Pick(later, "s", nil); chosen.Address == "gone" {
+			if chosen, _ := selector.Pick(later, "s", "c", nil); chosen.Address == "gone" {
 				return
 			}
 		}
@@ -112,17 +129,17 @@
 	})
 	t.Run("picks a leaving target again once its generation has changed", func(t *testing.T) {
 		selector := newSelector(target("one", "a"))
-		if _, err := selector.Pick(start, "s", nil); err != nil {
+		if _, err := selector.Pick(start, "s", "c", nil); err != nil {
 			t.Fatal(err)
 		}
-		selector.Done(start, "one", Result{Outcome: Leaving})
-		if chosen, err := selector.Pick(start, "s", nil); err == nil {
+		selector.Done(start, "one", "c", Result{Outcome: Leaving})
+		if chosen, err := selector.Pick(start, "s", "c", nil); err == nil {
 			t.Errorf("%v was picked while it is leaving, want an error", chosen)
 		}
 		restarted := target("one", "a")
 		restarted.Generation = 2
 		selector.Replace([]hemlockcall.Target{restarted})
-		if _, err := selector.Pick(start, "s", nil); err != nil {
+		if _, err := selector.Pick(start, "s", "c", nil); err != nil {
 			t.Error(err)
 		}
 	})
@@ -131,20 +148,20 @@
 		former := target("one", "a")
 		former.Generation = 1
 		selector := newSelector(former)
-		if _, err := selector.Pick(start, "s", nil); err != nil {
+		if _, err := selector.Pick(start, "s", "c", nil); err != nil {
 			t.Fatal(err)
 		}
 		_, generation := selector.Known("one")
 		restarted := target("one", "a")
 		restarted.Generation = generation + 1
 		selector.Replace([]hemlockcall.Target{restarted})
-		selector.Done(start, "one", Result{Outcome: Leaving, Generation: generation})
-		if _, err := selector.Pick(start, "s", nil); err != nil {
+		selector.Done(start, "one", "c", Result{Outcome: Leaving, Generation: generation})
+		if _, err := selector.Pick(start, "s", "c", nil); err != nil {
 			t.Errorf("%v after a late refusal of an earlier generation, want the target", err)
 		}
 	})
 	t.Run("returns an error without a target", func(t *testing.T) {
-		if _, err := newSelector().Pick(start, "s", nil); err == nil {
+		if _, err := newSelector().Pick(start, "s", "c", nil); err == nil {
 			t.Error("no error from Pick without a target")
 		}
 	})
