Renew unchanged loans between zones by a number

Change: a request states a number, and the next one renews the loans of that number and mentions only organisations whose loan has changed or that need tokens. The pool states the number in its answer if it knows the loans by it; a request that renews another number is ignored as a whole, and the sender repeats all loans. Numbers end with the loans, with changes of the set of organisations, and with requests of another division. Ruled out: ending the unmentioned loans when the number is unknown: safe too, but the shares would be idle until the next request.

--- a/hemlockpeer/quota.go
+++ b/hemlockpeer/quota.go
@@ -80,7 +80,7 @@
 	wire := &hemlockwire.QuotaRequest{From: request.From, Level: uint32(request.Level), LentFraction: request.Lent.Value(),
 		LeaseMilliseconds: uint32(request.Lease / time.Millisecond), Population: uint32(request.Population),
 		Reclaimed: request.Reclaimed, Partition: uint32(request.Partition), Partitions: uint32(request.Partitions),
-		Clock: request.Clock}
+		Clock: request.Clock, Number: request.Number, Renews: request.Renews}
 	for _, d := range request.Demands {
 		wire.Demands = append(wire.Demands, &hemlockwire.QuotaDemand{Organisation: d.Organisation, Wanted: uint32(d.Wanted),
 			Returned: uint32(d.Returned), LentFraction: d.Lent.Value()})
@@ -105,7 +105,7 @@
 	request := hemlockquota.Request{From: wire.GetFrom(), Level: int(wire.GetLevel()), Partition: int(wire.GetPartition()),
 		Partitions: int(wire.GetPartitions()), Clock: wire.GetClock(), Lent: hemlockquota.Of(wire.GetLentFraction()),
 		Lease: time.Duration(wire.GetLeaseMilliseconds()) * time.Millisecond, Population: int(wire.GetPopulation()),
-		Reclaimed: wire.GetReclaimed()}
+		Reclaimed: wire.GetReclaimed(), Number: wire.GetNumber(), Renews: wire.GetRenews()}
 	if len(wire.GetDemands()) > 0 {
 		request.Demands = make([]hemlockquota.Demand, 0, len(wire.GetDemands()))
 	}
@@ -133,7 +133,8 @@
 func isFraction(value float64) bool { return value >= 0 && value <= 1 }
 
 func encodeQuotaAnswer(answer hemlockquota.Answer) *hemlockwire.QuotaAnswer {
-	wire := &hemlockwire.QuotaAnswer{Accepted: answer.Accepted, Population: uint32(answer.Population), Clock: answer.Clock}
+	wire := &hemlockwire.QuotaAnswer{Accepted: answer.Accepted, Population: uint32(answer.Population), Clock: answer.Clock,
+		Number: answer.Number}
 	for _, g := range answer.Grants {
 		wire.Grants = append(wire.Grants, &hemlockwire.QuotaGrant{Organisation: g.Organisation, Granted: uint32(g.Granted),
 			WaitMilliseconds: uint32((g.Wait + time.Millisecond - 1) / time.Millisecond)})
@@ -146,7 +147,8 @@
 	if wire.GetPopulation() > maxQuotaPopulation || len(wire.GetGrants()) > maxQuotaDemands {
 		return hemlockquota.Answer{}, violation(operation, "number out of range")
 	}
-	answer := hemlockquota.Answer{Accepted: wire.GetAccepted(), Population: int(wire.GetPopulation()), Clock: wire.GetClock()}
+	answer := hemlockquota.Answer{Accepted: wire.GetAccepted(), Population: int(wire.GetPopulation()), Clock: wire.GetClock(),
+		Number: wire.GetNumber()}
 	for _, g := range wire.GetGrants() {
 		if !isOrganisationName(g.GetOrganisation()) || g.GetGranted() > maxQuotaTokens {
 			return hemlockquota.Answer{}, violation(operation, "invalid grant")
--- a/hemlockpeer/quota_test.go
+++ b/hemlockpeer/quota_test.go
@@ -15,13 +15,13 @@
 
 func newQuotaRequest() hemlockquota.Request {
 	return hemlockquota.Request{From: "10.0.0.1:7400", Level: 1, Partition: 2, Partitions: 3, Clock: 1 << 60, Lent: hemlockquota.One / 7,
-		Lease: time.Second, Population: 7, Reclaimed: true, Demands: []hemlockquota.Demand{
+		Lease: time.Second, Population: 7, Reclaimed: true, Number: 6, Renews: 4, Demands: []hemlockquota.Demand{
 			{Organisation: "a", Wanted: 3, Returned: 1, Lent: hemlockquota.One}, {Organisation: "b"}}}
 }
 
 // Guards against a field of a quota request or answer that is lost or changed between two nodes.
 func TestQuotaRequestsArriveUnchanged(t *testing.T) {
-	want := hemlockquota.Answer{Accepted: true, Population: 9, Clock: 5, Grants: []hemlockquota.Grant{
+	want := hemlockquota.Answer{Accepted: true, Population: 9, Clock: 5, Number: 6, Grants: []hemlockquota.Grant{
 		{Organisation: "a", Granted: 2, Wait: 40 * time.Millisecond}}}
 	var received hemlockquota.Request
 	_, address := startServer(t, invokerFunc(echoDigest), WithQuotaHandler(
--- a/hemlockquota/message.go
+++ b/hemlockquota/message.go
@@ -21,7 +21,12 @@
 	Population int
 	// Reclaimed is set if the sender takes back what it has lent.
 	Reclaimed bool
-	Demands   []Demand
+	// Number identifies the loans that hold after this request, at level 1; 0 if they cannot be renewed by Renews.
+	Number uint64
+	// Renews is the number of the request whose loans continue, with a new lease, for the organisations that this one does not mention; 0
+	// if their loans end. A pool that does not know the loans by this number ignores the whole request.
+	Renews  uint64
+	Demands []Demand
 }
 
 // maxDemands bounds the organisations in one request; further ones wait for the next.
@@ -33,8 +38,7 @@
 	Wanted       int
 	// Returned tokens were granted earlier and not used.
 	Returned int
-	// Lent is what the sender lends of the quota of this organisation, at level 1 only. The loan of an organisation that a request of level
-	// 1 does not mention ends.
+	// Lent is what the sender lends of the quota of this organisation, at level 1 only; 0 ends a loan.
 	Lent Fraction
 }
 
@@ -45,7 +49,9 @@
 	// Population is the number of nodes that share the quotas, as the pool knows it; 0 if its view is not settled.
 	Population int
 	// Clock is the pool's clock in microseconds.
-	Clock  uint64
+	Clock uint64
+	// Number is that of the request, if the pool knows its loans by this number.
+	Number uint64
 	Grants []Grant
 }
 
--- a/hemlockquota/pool.go
+++ b/hemlockquota/pool.go
@@ -31,12 +31,23 @@
 	mutex sync.Mutex
 	// loans are those that hold for all organisations of a partition, and sums their sums for each partition.
 	loans map[loanKey]*received
+	// known are the numbers by which the loans of requests of level 1 can be renewed. All loans of a sender and partition are those after
+	// the last accepted request.
+	known map[loanKey]numbered
 	sums  map[partition]Fraction
 	// nextEnd is not later than the first end of a loan.
 	nextEnd    time.Time
 	accounts   map[string]*poolAccount
 	population int
 	counts     Counts
+	// limitsVersion changes with the set of organisations.
+	limitsVersion uint64
+}
+
+// numbered is the number of a request of level 1, and the end of its loans.
+type numbered struct {
+	number uint64
+	until  time.Time
 }
 
 type loanKey struct {
@@ -61,9 +72,10 @@
 	// loans are those for this organisation alone, at level 1, and sum is their sum.
 	loans map[string]*received
 	sum   Fraction
-	// lentOn is what the pool has lent to a pool of the next level.
-	lentOn loans
-	demand rate
+	// lentOn is what the pool has lent to a pool of the next level, and lastLent the part of the last request.
+	lentOn   loans
+	lastLent Fraction
+	demand   rate
 	// promised is when the token after those that were promised to refused requests is due.
 	promised time.Time
 }
@@ -80,7 +92,7 @@
 // NewPool returns a pool of the level without loans. The clock base is a random number: it distinguishes the clocks of processes, so that a
 // request that was meant for a previous process at this address is not accepted.
 func NewPool(level int, now time.Time, clockBase uint64) *Pool {
-	return &Pool{level: level, clockBase: clockBase>>2 + 1, started: now, loans: map[loanKey]*received{},
+	return &Pool{level: level, clockBase: clockBase>>2 + 1, started: now, loans: map[loanKey]*received{}, known: map[loanKey]numbered{},
 		sums: map[partition]Fraction{}, accounts: map[string]*poolAccount{}}
 }
 
@@ -92,6 +104,7 @@
 	for name, a := range p.accounts {
 		if _, ok := limits[name]; !ok {
 			delete(p.accounts, name)
+			p.limitsVersion++
 			continue
 		}
 		p.settle(now, a)
@@ -101,6 +114,8 @@
 		if a == nil {
 			a = &poolAccount{name: name, hash: hashOf(name), loans: map[string]*received{}, bucket: bucket{at: now}}
 			p.accounts[name] = a
+			p.limitsVersion++
+			clear(p.known) // they do not include what was lent of this quota
 		}
 		a.limit = limit
 		p.settle(now, a)
@@ -127,7 +142,7 @@
 	answer := Answer{Population: p.population, Clock: p.clock(now)}
 	t := levels[p.level]
 	// An unsigned difference: a clock in the future, such as that of a previous process, is not accepted either.
-	if r.Level != p.level || r.Clock == 0 || answer.Clock-r.Clock > uint64(t.timeout.Microseconds()) {
+	if r.Level != p.level || r.Clock == 0 || answer.Clock-r.Clock > uint64(t.timeout.Microseconds()) || !p.canRenew(now, r) {
 		p.counts.Ignored++
 		return answer, nil
 	}
@@ -135,6 +150,7 @@
 	if p.level == 0 {
 		p.receivePartition(now, r, t)
 	} else {
+		answer.Number = p.number(now, r, t)
 		p.receiveOrganisations(now, r, t, func(former, fraction Fraction) bool { return fraction >= former })
 		// Tokens that are asked for with a fraction that is taken back are granted before.
 		defer p.receiveOrganisations(now, r, t, func(former, fraction Fraction) bool { return fraction < former })
@@ -182,9 +198,32 @@
 	}
 }
 
+// canRenew reports whether the pool knows the loans that a request renews.
+func (p *Pool) canRenew(now time.Time, r Request) bool {
+	known := p.known[loanKey{r.From, partition{r.Partition, r.Partitions}}]
+	return r.Renews == 0 || known.number == r.Renews && now.Before(known.until)
+}
+
+// number records the number of an accepted request of level 1. Loans that a request of another division may have changed have no number.
+func (p *Pool) number(now time.Time, r Request, t terms) uint64 {
+	for key, known := range p.known {
+		if key.from == r.From && key.partition.count != r.Partitions || !now.Before(known.until) {
+			delete(p.known, key)
+		}
+	}
+	key := loanKey{r.From, partition{r.Partition, r.Partitions}}
+	delete(p.known, key)
+	if r.Number == 0 || r.Reclaimed || len(p.known) >= maxLoans {
+		return 0
+	}
+	p.known[key] = numbered{r.Number, now.Add(min(r.Lease, t.lease))}
+	return r.Number
+}
+
 // receiveOrganisations applies the loans of a request of level 1 for which the function returns true.
 func (p *Pool) receiveOrganisations(now time.Time, r Request, t terms, applies func(former, fraction Fraction) bool) {
 	lent := map[string]Fraction{}
+	renews := r.Renews != 0 && !r.Reclaimed
 	if !r.Reclaimed {
 		for _, d := range r.Demands {
 			lent[d.Organisation] = d.Lent
@@ -195,10 +234,14 @@
 		if !mentioned.contains(a.hash) {
 			continue
 		}
-		l, fraction, former := a.loans[r.From], lent[name], Fraction(0)
+		l, former := a.loans[r.From], Fraction(0)
 		if l != nil {
 			former = l.fraction
 		}
+		fraction, isMentioned := lent[name]
+		if !isMentioned && renews {
+			fraction = former
+		}
 		switch {
 		case !applies(former, fraction), fraction == 0 && l == nil, l == nil && len(a.loans) >= maxLoans:
 			continue
--- a/hemlockquota/result.go
+++ b/hemlockquota/result.go
@@ -20,7 +20,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	s, p := m.slot, l.peerOf(m.Address)
-	s.inFlight = false
+	s.inFlight, s.known = false, answer.Number
 	p.clock, p.clockAt, p.silent = answer.Clock, now, false
 	if answer.Population > 0 {
 		l.reported, l.reportedAt = answer.Population, now
@@ -100,7 +100,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	s, p := m.slot, l.peerOf(m.Address)
-	s.inFlight = false
+	s.inFlight, s.known = false, 0
 	if failure != Unanswered {
 		l.lender.withdraw(now, m)
 	}
--- a/hemlockquota/simulation_test.go
+++ b/hemlockquota/simulation_test.go
@@ -21,10 +21,16 @@
 	cut func(a, b *node) bool
 	// loss and late are the probabilities that a message is lost or delayed by up to lateBy.
 	loss, late float64
-	runs       map[string][]time.Time
-	refused    [4]int
-	messages   [2]int
-	failure    string
+	// processing is the longest time that a message waits at a node before it is handled; the shortest is a quarter of it.
+	processing time.Duration
+	// checkInterval is the time between two checks of the invariant.
+	checkInterval time.Duration
+	runs          map[string][]time.Time
+	refused       [4]int
+	messages      [2]int
+	// entries is the number of organisations in all requests of a level.
+	entries [2]int
+	failure string
 }
 
 type node struct {
@@ -68,7 +74,7 @@
 }
 
 func newSimulation(seed int64, zones, perZone int, limits map[string]Limit) *simulation {
-	s := &simulation{random: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0), limits: limits,
+	s := &simulation{random: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0), limits: limits, checkInterval: time.Millisecond,
 		runs: map[string][]time.Time{}, cut: func(*node, *node) bool { return false }}
 	for i := range zones * perZone {
 		s.nodes = append(s.nodes, &node{name: fmt.Sprintf("10.0.0.%d:1", i), zone: i % zones, dead: true})
@@ -124,7 +130,7 @@
 
 func (s *simulation) tick(n *node) { s.on(n, 25*time.Millisecond, func() { s.tick(n) }) }
 
-// run processes events until the duration has passed, and checks the invariant after each millisecond.
+// run processes events until the duration has passed, and checks the invariant after each interval.
 func (s *simulation) run(duration time.Duration) {
 	end, checked := s.now.Add(duration), s.now
 	for len(s.events) > 0 && s.events[0].at.Before(end) {
@@ -140,7 +146,7 @@
 		}
 		e.run()
 		s.pump(e.node)
-		if s.now.Sub(checked) >= time.Millisecond {
+		if s.now.Sub(checked) >= s.checkInterval {
 			checked = s.now
 			s.checkFractions()
 		}
@@ -197,6 +203,7 @@
 
 func (s *simulation) send(n *node, l *Ledger, m *Message) {
 	s.messages[l.level]++
+	s.entries[l.level] += len(m.Request.Demands)
 	finished := false
 	finish := func(report func()) {
 		if !finished {
@@ -214,7 +221,8 @@
 		s.on(n, s.delay(), func() { finish(func() { l.Failed(s.now, m, ProcessEnded) }) })
 		return
 	}
-	s.on(target, s.delay(), func() {
+	processing := s.processing/4 + time.Duration(s.random.Float64()*float64(s.processing)*3/4)
+	s.on(target, s.delay()+processing, func() {
 		s.receive(target, m.Request, func(answer Answer) {
 			if !lost() {
 				s.on(n, s.delay(), func() { finish(func() { l.Answered(s.now, m, answer) }) })
--- a/hemlockquota/slot.go
+++ b/hemlockquota/slot.go
@@ -25,7 +25,10 @@
 	asking []*account
 	// inFlight is set while a request to the pool has no result. There is at most one.
 	inFlight bool
-	lastSent time.Time
+	// known is the number by which the pool knows the loans of the last request; 0 if there is none. limitsVersion is the version of the
+	// lender's limits at that request.
+	known, limitsVersion uint64
+	lastSent             time.Time
 	// leaving is set while the loan of the present pool is reclaimed, so that another one can get it; reclaimed once the pool has
 	// confirmed it.
 	leaving, reclaimed bool
@@ -89,7 +92,7 @@
 		for _, a := range s.accounts {
 			a.returned = 0
 		}
-		s.pool, s.leaving, s.reclaimed, s.lastSent = preferred, false, false, time.Time{}
+		s.pool, s.leaving, s.reclaimed, s.known, s.lastSent = preferred, false, false, 0, time.Time{}
 	}
 }
 
--- a/hemlockquota/surplus.go
+++ b/hemlockquota/surplus.go
@@ -1,6 +1,9 @@
 package hemlockquota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A pool of a zone is a lender: to the pools of all zones it lends what exceeds the recent demand of its zone, for each organisation. The
 // loans of other organisations do not matter, so that lent and own fractions are counted by organisation.
@@ -39,10 +42,18 @@
 	defer p.mutex.Unlock()
 	p.expire(now)
 	sums := p.firm(now)
+	m.Request.Number, m.Request.Renews = m.sequence, m.slot.known
+	if m.slot.limitsVersion != p.limitsVersion {
+		m.slot.limitsVersion, m.Request.Renews = p.limitsVersion, 0 // what was lent of a former quota must not be renewed
+	}
 	for _, a := range p.accounts {
-		if !m.slot.partition.contains(a.hash) || len(m.Request.Demands) >= 2*maxDemands-1 {
+		if !m.slot.partition.contains(a.hash) {
 			continue
 		}
+		if len(m.Request.Demands) >= 2*maxDemands-1 {
+			m.Request.Number, m.Request.Renews = 0, 0 // loans are omitted
+			break
+		}
 		var firm Fraction
 		for of, fraction := range sums {
 			if of.contains(a.hash) {
@@ -61,7 +72,6 @@
 	lent := a.lentOn.available(now, surplus, m.Address)
 	if lent > 0 {
 		m.lends = true
-		m.demand(a.name).Lent = lent
 		a.lentOn.lend(now, m.Address, m.sequence, lent, levels[1])
 		p.settle(now, a)
 		if dropped := int(level - a.bucket.level); dropped > 0 {
@@ -75,6 +85,10 @@
 		m.transfers[a.name] = min(tokens, maxWanted)
 		m.demand(a.name).Wanted += m.transfers[a.name]
 	}
+	if m.Request.Renews == 0 && lent > 0 || lent != a.lastLent || m.mentions(a.name) {
+		m.demand(a.name).Lent = lent
+	}
+	a.lastLent = lent
 }
 
 func (p *Pool) deposit(now time.Time, organisation string, tokens int) {
@@ -87,6 +101,10 @@
 	}
 }
 
+func (m *Message) mentions(organisation string) bool {
+	return slices.ContainsFunc(m.Request.Demands, func(d Demand) bool { return d.Organisation == organisation })
+}
+
 // demand returns the part of the message about an organisation.
 func (m *Message) demand(organisation string) *Demand {
 	for i := range m.Request.Demands {
