Pool the shares of small bursts, and ask while an answer is late

Cause: the burst of an organisation with a rate up to 20/s is divided among three zones, and a few tokens in each do not cover random arrivals. When all of these ask the pools of all zones, needs wait for the request in flight and then for their own answer, beyond the 50 ms that a zone pool waits. Change: a zone lends its whole share while its burst in the zone is below 6.5 tokens. When a request has no answer for 20 ms, new needs go in a further one that leaves the loans as they are.

--- a/hemlockpeer/quota.go
+++ b/hemlockpeer/quota.go
@@ -80,7 +80,7 @@
 	wire := &hemlockwire.QuotaRequest{From: request.From, Level: uint32(request.Level), LentFraction: request.Lent.Value(),
 		LeaseMilliseconds: uint32(request.Lease / time.Millisecond), Population: uint32(request.Population),
 		Reclaimed: request.Reclaimed, Partition: uint32(request.Partition), Partitions: uint32(request.Partitions),
-		Clock: request.Clock, Number: request.Number, Renews: request.Renews}
+		Clock: request.Clock, Number: request.Number, Renews: request.Renews, DemandsOnly: request.DemandsOnly}
 	for _, d := range request.Demands {
 		wire.Demands = append(wire.Demands, &hemlockwire.QuotaDemand{Organisation: d.Organisation, Wanted: uint32(d.Wanted),
 			Returned: uint32(d.Returned), LentFraction: d.Lent.Value()})
@@ -105,7 +105,8 @@
 	request := hemlockquota.Request{From: wire.GetFrom(), Level: int(wire.GetLevel()), Partition: int(wire.GetPartition()),
 		Partitions: int(wire.GetPartitions()), Clock: wire.GetClock(), Lent: hemlockquota.Of(wire.GetLentFraction()),
 		Lease: time.Duration(wire.GetLeaseMilliseconds()) * time.Millisecond, Population: int(wire.GetPopulation()),
-		Reclaimed: wire.GetReclaimed(), Number: wire.GetNumber(), Renews: wire.GetRenews()}
+		Reclaimed: wire.GetReclaimed(), Number: wire.GetNumber(), Renews: wire.GetRenews(),
+		DemandsOnly: wire.GetDemandsOnly()}
 	if len(wire.GetDemands()) > 0 {
 		request.Demands = make([]hemlockquota.Demand, 0, len(wire.GetDemands()))
 	}
--- a/hemlockquota/message.go
+++ b/hemlockquota/message.go
@@ -25,8 +25,10 @@
 	Number uint64
 	// Renews is the number of the request whose loans continue, with a new lease, for the organisations that this one does not mention; 0
 	// if their loans end. A pool that does not know the loans by this number ignores the whole request.
-	Renews  uint64
-	Demands []Demand
+	Renews uint64
+	// DemandsOnly is set if the loans of the sender stay as they are, without a new lease.
+	DemandsOnly bool
+	Demands     []Demand
 }
 
 // maxDemands bounds the organisations in one request; further ones wait for the next.
--- a/hemlockquota/pool.go
+++ b/hemlockquota/pool.go
@@ -147,9 +147,11 @@
 		return answer, nil
 	}
 	answer.Accepted = true
-	if p.level == 0 {
+	switch {
+	case r.DemandsOnly:
+	case p.level == 0:
 		p.receivePartition(now, r, t)
-	} else {
+	default:
 		answer.Number = p.number(now, r, t)
 		p.receiveOrganisations(now, r, t, func(former, fraction Fraction) bool { return fraction >= former })
 		// Tokens that are asked for with a fraction that is taken back are granted before.
--- a/hemlockquota/result.go
+++ b/hemlockquota/result.go
@@ -20,7 +20,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	s, p := m.slot, l.peerOf(m.Address)
-	s.inFlight, s.known = false, answer.Number
+	s.finished(m, answer.Number)
 	p.clock, p.clockAt, p.silent = answer.Clock, now, false
 	if answer.Population > 0 {
 		l.reported, l.reportedAt = answer.Population, now
@@ -37,7 +37,9 @@
 		return
 	}
 	p.ignored = 0
-	l.lender.accepted(now, m)
+	if !m.Request.DemandsOnly {
+		l.lender.accepted(now, m)
+	}
 	if m.Request.Reclaimed {
 		l.lender.end(now, s, m.Address, now.Add(l.terms().release))
 		s.reclaimed = true
@@ -100,7 +102,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	s, p := m.slot, l.peerOf(m.Address)
-	s.inFlight, s.known = false, 0
+	s.finished(m, 0)
 	if failure != Unanswered {
 		l.lender.withdraw(now, m)
 	}
--- a/hemlockquota/slot.go
+++ b/hemlockquota/slot.go
@@ -11,6 +11,11 @@
 	probeInterval = 100 * time.Millisecond
 	// maxIgnored is the number of consecutive requests that a pool may ignore before it counts as silent.
 	maxIgnored = 3
+	// extraDelay is how long a request has no answer before new needs are sent in another one, and maxExtra bounds those. Needs that
+	// waited for the answer to the previous request and then for their own had no token in time when processing took 15 ms or more at
+	// each node; without the delay, fewer needs would share a request.
+	extraDelay = 20 * time.Millisecond
+	maxExtra   = 4
 )
 
 // slot is one partition of the organisations at a Ledger, with the pool that serves them.
@@ -23,8 +28,11 @@
 	accounts []*account
 	// asking are the accounts for which the next message asks for tokens.
 	asking []*account
-	// inFlight is set while a request to the pool has no result. There is at most one.
+	// inFlight is set while a request to the pool that may change loans has no result. There is at most one.
 	inFlight bool
+	// extra is the number of requests without result that only ask for tokens, and lastExtra when the last one was sent.
+	extra     int
+	lastExtra time.Time
 	// known is the number by which the pool knows the loans of the last request; 0 if there is none. limitsVersion is the version of the
 	// lender's limits at that request.
 	known, limitsVersion uint64
@@ -122,13 +130,13 @@
 		return nil
 	}
 	p := l.peerOf(s.pool)
-	if s.inFlight || !l.isDue(now, s, p) {
+	if s.inFlight {
+		return l.extraMessage(now, s, p)
+	}
+	if !l.isDue(now, s, p) {
 		return nil
 	}
-	l.sequence++
-	m := &Message{Address: s.pool, slot: s, sequence: l.sequence, sentAt: now, Request: Request{From: l.self, Level: l.level,
-		Partition: s.partition.index, Partitions: s.partition.count, Clock: p.clockNow(now), Lease: l.terms().lease,
-		Population: l.settledPopulation(now)}}
+	m := l.newMessage(now, s, p)
 	s.inFlight, s.lastSent = true, now
 	if p.clock == 0 || p.silent {
 		return m // lends nothing and asks for nothing until the pool has answered
@@ -147,6 +155,36 @@
 	return m
 }
 
+func (l *Ledger) newMessage(now time.Time, s *slot, p *peer) *Message {
+	l.sequence++
+	return &Message{Address: s.pool, slot: s, sequence: l.sequence, sentAt: now, Request: Request{From: l.self, Level: l.level,
+		Partition: s.partition.index, Partitions: s.partition.count, Clock: p.clockNow(now), Lease: l.terms().lease,
+		Population: l.settledPopulation(now)}}
+}
+
+// extraMessage returns a message that only asks for tokens, while another one has had no answer for a while. A pool of level 1 that
+// knows no number of loans may not know such requests.
+func (l *Ledger) extraMessage(now time.Time, s *slot, p *peer) *Message {
+	if len(s.asking) == 0 || s.extra >= maxExtra || now.Sub(maxTime(s.lastSent, s.lastExtra)) < extraDelay || p.clock == 0 || p.silent ||
+		s.leaving || l.stopping || l.level > 0 && s.known == 0 {
+		return nil
+	}
+	m := l.newMessage(now, s, p)
+	m.Request.DemandsOnly = true
+	s.extra, s.lastExtra = s.extra+1, now
+	l.addDemands(now, m)
+	return m
+}
+
+// finished records that a message has a result. known is the number by which the pool knows its loans.
+func (s *slot) finished(m *Message, known uint64) {
+	if m.Request.DemandsOnly {
+		s.extra--
+		return
+	}
+	s.inFlight, s.known = false, known
+}
+
 func (l *Ledger) isDue(now time.Time, s *slot, p *peer) bool {
 	since := now.Sub(s.lastSent)
 	switch {
--- a/hemlockquota/surplus.go
+++ b/hemlockquota/surplus.go
@@ -23,10 +23,18 @@
 	return sums
 }
 
-// surplus returns the part of the firm fraction that the recent demand does not need, in steps.
+// minZoneBurst is the burst in tokens below which a zone lends its whole share, and asks for each token: so few do not cover random
+// arrivals in the zone, and those in the other zones cannot be used. Above it, a message between zones for each request of an
+// organisation at 0.6 of its quota would cost more than the refusals that it avoids.
+const minZoneBurst = 6.5
+
+// surplus returns the part of the firm fraction that the recent demand does not need, in steps; all of it if the burst is too small for a zone.
 func (a *poolAccount) surplus(now time.Time, firm Fraction) Fraction {
 	needed := Of(demandMargin * a.demand.current(now, demandTime) / a.limit.PerSecond)
 	step := firm / lentSteps
+	if firm.Value()*a.limit.Burst < minZoneBurst {
+		needed = 0
+	}
 	if needed < step/2 {
 		needed = 0 // the last requests were seconds ago
 	}
