--- a/hemlockquota/slot.go
+++ b/hemlockquota/slot.go
@@ -11,9 +11,9 @@
 	probeInterval = 100 * time.Millisecond
 	// maxIgnored is the number of consecutive requests that a pool may ignore before it counts as silent.
 	maxIgnored = 3
-	// extraDelay is how long a request has no answer before new needs are sent in another one, and maxExtra bounds those. Needs that
-	// waited for the answer to the previous request and then for their own had no token in time when processing took 15 ms or more at
-	// each node; without the delay, fewer needs would share a request.
+	// extraDelay is how long a request has no answer before new needs are sent in another one, and maxExtra bounds those. Without them,
+	// needs wait for the answer to the previous request first: with 7.5 to 30 ms of processing at pools, 583 instead of 352 of about 5,300
+	// requests of small organisations were refused. Without the delay, fewer needs would share a request.
 	extraDelay = 20 * time.Millisecond
 	maxExtra   = 4
 )
