Throttle call trees by the rule of the default throttle, and gate only hopeless ones

Trees were held back after refusals had ended, while targets were restarted, and for a queue at their own first service.

Change: the rule and gains of the default throttle, shared with it; the load of the first service counts half unless other trees reach it through others; probes only below a success probability of 0.02, refused fractions valid for 0.7 s, measured by refusals of targets alone; a failing class is held back from 0.6 failed.

--- a/hemlockbackpressure/load_monitor.go
+++ b/hemlockbackpressure/load_monitor.go
@@ -93,6 +93,8 @@
 // serviceLoad is the record of one service.
 type serviceLoad struct {
 	MovingAverage
+	// nestedAt is when a call tree was last decided on that reaches the service through another one.
+	nestedAt time.Time
 	// highAt is when the load was last at least minHighLoad.
 	highAt time.Time
 	// refusals and missingUntil are recorded only for the admission by call trees.
--- a/hemlockbackpressure/throttle.go
+++ b/hemlockbackpressure/throttle.go
@@ -150,12 +150,17 @@
 	}
 	f.updatedAt = now
 	steps := min(float64(elapsed/updateInterval), maxCatchUpSteps)
+	f.fraction = adjusted(f.fraction, load, setpoint, steps*gainAt(current.Age))
+}
+
+// adjusted returns an admitted fraction after a number of steps, which may be a fraction of one, towards the setpoint of the load.
+func adjusted(fraction, load, setpoint, steps float64) float64 {
 	excess := load - setpoint
 	factor := 1 + maxIncrease*min(1, -excess/setpoint)
 	if excess > 0 {
 		factor = 1 - min(maxDecrease, decreaseGain*excess)
 	}
-	f.fraction = min(max(f.fraction*math.Pow(factor, steps*gainAt(current.Age)), minAdmittedFraction), 1)
+	return min(max(fraction*math.Pow(factor, steps), minAdmittedFraction), 1)
 }
 
 // gainAt returns how fast the throttle reacts to a load of the given age, as a fraction of its reaction to a current one. With a delay,
--- a/hemlockbackpressure/tree_load.go
+++ b/hemlockbackpressure/tree_load.go
@@ -9,28 +9,31 @@
 
 const (
 	// refusalTimeConstant is the time constant of the refused fraction of the nested calls of this host.
-	refusalTimeConstant = time.Second
+	refusalTimeConstant = 300 * time.Millisecond
 	// minRefusalSamples is the decayed number of nested calls from which the refused fraction is known.
 	minRefusalSamples = 5
 	// minRefused is the refused fraction from which a service is reported to other nodes. Trees with 27 calls there then succeed with the
 	// probability minSuccess.
 	minRefused = 0.05
-	// maxRefusedAge is how long a refused fraction is valid. It is longer than that of a load, because held back trees make few calls.
-	maxRefusedAge = 2 * time.Second
+	// maxRefusedAge is how long a refused fraction is valid. A recovered service is not reported, so trees stay held back that long.
+	maxRefusedAge = 700 * time.Millisecond
 	// refusedReportWeight is the weight of one reported fraction against the recorded one. Each reporting node has measured few calls.
 	refusedReportWeight = 0.3
 	// minNewerRefusals is by how much a reported fraction must have been measured later than the recorded one to count. The age of a report
 	// does not include its transit and is rounded down to milliseconds, so an echo appears to be measured later with each hop: at 300
 	// messages per second and node with a transit of 5 ms, fractions stayed valid for 12 s in a simulation of 40 nodes.
 	minNewerRefusals = 100 * time.Millisecond
-	// failingTreeThreshold is the failed fraction of a class with known demands from which its call trees are held back. It corresponds
-	// to minSuccess: most of its failures are then not explained by the load or the refusals of a known service.
-	failingTreeThreshold = 1 - minSuccess
+	// failingTreeThreshold is the failed fraction of a class with known demands from which its call trees are held back. A class that makes
+	// one call at a service that refuses half of its calls is still served.
+	failingTreeThreshold = 0.6
 	// minTreeCalls is the number of calls of a tree at a service from which its load counts. A few calls may be attributed to a wrong run,
 	// and no tree is to be refused for a service that it does not call.
 	minTreeCalls = 0.1
 )
 
+// nestedMemory is how long a service counts as one that call trees reach through others after such a tree was last decided on.
+const nestedMemory = 10 * time.Second
+
 // refusals is how many calls of a service fail after all attempts because its targets refuse them.
 type refusals struct {
 	// failed and calls are decayed numbers of nested calls of this host.
@@ -105,9 +108,11 @@
 	Refusing hemlockcall.CallDemand
 }
 
-// TreeLoad returns what decides on a new call tree of a class with the given demands. Only the services that the tree calls count. If
-// more call trees of the class fail than failingTreeThreshold, the load is at least one that rises with the failed fraction.
-func (m *LoadMonitor) TreeLoad(now time.Time, class string, demands []hemlockcall.CallDemand) TreeLoad {
+// TreeLoad returns what decides on a new call tree of a class with the given demands. Only the services that the tree calls count. The load
+// of the first service is multiplied by firstServiceFactor, as for EntryLoad, unless other trees reach that service through others: then
+// they compete for it, and their refused calls cost more work. If more call trees of the class fail than failingTreeThreshold, the load is at
+// least one that rises with the failed fraction.
+func (m *LoadMonitor) TreeLoad(now time.Time, class, firstService string, demands []hemlockcall.CallDemand) TreeLoad {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	load := TreeLoad{Success: 1}
@@ -118,6 +123,13 @@
 			continue
 		}
 		value, age := s.Value(now), now.Sub(s.updatedAt)
+		if d.Service != firstService {
+			if d.Calls >= minTreeCalls {
+				s.nestedAt = now
+			}
+		} else if now.Sub(s.nestedAt) > nestedMemory {
+			value *= firstServiceFactor
+		}
 		if now.Before(s.missingUntil) {
 			value, age = unreachableLoad, 0
 		}
--- a/hemlockbackpressure/tree_throttle.go
+++ b/hemlockbackpressure/tree_throttle.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// minSuccess is the success probability below which call trees are admitted only as probes.
-	minSuccess = 0.25
+	// minSuccess is the success probability below which call trees are admitted only as probes. With 0.25, trees that would have succeeded
+	// were held back for seconds after the refusals of targets that had just started.
+	minSuccess = 0.02
 	// probeFraction is the admitted fraction of such trees. Their calls show when the service has recovered.
 	probeFraction = 0.05
 	// minShare is the lowest admitted fraction of a class, as a multiple of that of all trees at this entry.
@@ -22,13 +23,6 @@
 	// heaviestSlotTime and lightestSlotTime are the slot times at the scarce service between which the setpoint depends on the slot time.
 	heaviestSlotTime = time.Second
 	lightestSlotTime = 10 * time.Millisecond
-	// treeGain is the relative change of an admitted fraction in one step for each unit by which the load differs from the setpoint.
-	treeGain = 0.3
-	// trendGain is the relative change in one step for each unit by which the load has changed since the last step. It damps the
-	// oscillation of a queue, whose length follows the admitted fraction with a delay.
-	trendGain = 0.3
-	// maxTreeChange limits the relative change in one step.
-	maxTreeChange = 0.25
 )
 
 // setpointRange are the setpoints of the heaviest and of the lightest trees of one organisation rank and priority.
@@ -36,14 +30,13 @@
 
 // treeSetpoints are the load of the scarce service at which trees are throttled, by organisation rank and priority. The ranges do not
 // overlap, so that the rank precedes the priority, and the priority the slot time: while trees of one range are throttled, all trees of
-// higher ranges are admitted. Rank 1 is the one without organisations; its sheddable trees are throttled once all slots are in use, so
-// that a short queue bridges the delay until admitted trees reach the service. Load above 1 is a queue, in which the gate lets the more
-// important calls pass. The ranges of a higher priority are wide apart, because a burst of 1.2 times the capacity at a service with runs
+// higher ranges are admitted. Rank 1 is the one without organisations; its sheddable trees are throttled just before all slots are in use.
+// Load above 1 is a queue, in which the gate lets the more important calls pass. The ranges of a higher priority are wide apart, because a burst of 1.2 times the capacity at a service with runs
 // of 55 ms raises the load to 2 before the throttle reacts. Those of rank 2 are below 1, where the other ranks have free slots left.
 var treeSetpoints = [maxTreeRank + 1][hemlockcall.PriorityCount]setpointRange{
-	0: {hemlockcall.Sheddable: {2.9, 3.1}, hemlockcall.Important: {3.4, 3.6}, hemlockcall.Critical: {3.9, 4.1}},
-	1: {hemlockcall.Sheddable: {1, 1.3}, hemlockcall.Important: {1.9, 2.1}, hemlockcall.Critical: {2.4, 2.7}},
-	2: {hemlockcall.Sheddable: {0.82, 0.86}, hemlockcall.Important: {0.88, 0.92}, hemlockcall.Critical: {0.94, 0.98}},
+	0: {hemlockcall.Sheddable: {3.1, 3.3}, hemlockcall.Important: {3.5, 3.7}, hemlockcall.Critical: {4, 4.2}},
+	1: {hemlockcall.Sheddable: {0.94, 1}, hemlockcall.Important: {1.7, 2}, hemlockcall.Critical: {2.6, 3}},
+	2: {hemlockcall.Sheddable: {0.82, 0.84}, hemlockcall.Important: {0.86, 0.88}, hemlockcall.Critical: {0.9, 0.92}},
 }
 
 const (
@@ -95,11 +88,8 @@
 // treeFraction is the admitted fraction of the trees of one kind.
 type treeFraction struct {
 	// fraction follows the load, within the limits by share and by success.
-	fraction float64
-	credit   float64 // grows with each tree, up to 1; each admitted one takes 1
-	// lastLoad is the load at updatedAt, of the service lastCause.
-	lastLoad  float64
-	lastCause string
+	fraction  float64
+	credit    float64 // grows with each tree, up to 1; each admitted one takes 1
 	updatedAt time.Time
 	lastTree  time.Time
 }
@@ -230,12 +220,7 @@
 	if elapsed > maxReportAge {
 		value = min(value, setpoint) // no tree of this kind arrived for a while: the first one does not lower the fraction
 	}
-	trend := value - f.lastLoad
-	if load.Cause != f.lastCause {
-		trend = 0
-	}
-	f.updatedAt, f.lastLoad, f.lastCause = now, value, load.Cause
+	f.updatedAt = now
 	steps := min(float64(elapsed/updateInterval), maxCatchUpSteps)
-	change := min(max(treeGain*(setpoint-value)-trendGain*trend/steps, -maxTreeChange), maxTreeChange)
-	f.fraction = min(max(f.fraction*math.Exp(change*steps*gainAt(load.Age)), minAdmittedFraction), 1)
+	f.fraction = adjusted(f.fraction, value, setpoint, steps*gainAt(load.Age))
 }
--- a/hemlockrelay/call_trees.go
+++ b/hemlockrelay/call_trees.go
@@ -58,7 +58,7 @@
 	if demands == nil {
 		return nil, false
 	}
-	load := e.monitor.TreeLoad(now, call.Class, demands)
+	load := e.monitor.TreeLoad(now, call.Class, call.Service, demands)
 	decision := e.trees.throttle.Admit(now, hemlockbackpressure.TreeOf(call), load)
 	if decision.Admitted {
 		return nil, true
@@ -84,7 +84,7 @@
 func (t *callTrees) observe(now time.Time, monitor *hemlockbackpressure.LoadMonitor) {
 	t.throttle.Observe(now, func(tree hemlockbackpressure.Tree) (hemlockbackpressure.TreeLoad, bool) {
 		demands := t.estimator.TreeDemands(now, hemlockdemand.Class{Name: tree.Class, Service: tree.Service})
-		return monitor.TreeLoad(now, tree.Class, demands), demands != nil
+		return monitor.TreeLoad(now, tree.Class, tree.Service, demands), demands != nil
 	})
 }
 
@@ -101,8 +101,7 @@
 	refused := false
 	if err != nil {
 		refusal := hemlockcall.AsRefusal(err)
-		refused = refusal.ReachedTarget && refusal.Verdict == hemlockcall.VerdictNotRun ||
-			refusal.Reason == hemlockcall.ReasonUnavailable
+		refused = refusal.ReachedTarget && refusal.Verdict == hemlockcall.VerdictNotRun
 	}
 	e.monitor.RecordNestedCall(now, call.Service, refused)
 }
