--- a/hemlockbackpressure/tree_replay_test.go
+++ b/hemlockbackpressure/tree_replay_test.go
@@ -10,7 +10,7 @@
 	"hemlockhollow/hemlockcall"
 )
 
-// modelClass is a class of the load that forest replays. A run holds a slot for time and then until its nested calls, made one after the
+// modelClass is a class of the load that treeModel replays. A run holds a slot for time and then until its nested calls, made one after the
 // other, have ended.
 type modelClass struct {
 	service                      string
@@ -28,9 +28,9 @@
 	refused        float64
 }
 
-// forest replays the load of the smaller deployment of section 1 of docs/design/README.md through 20 entries that know the same loads.
+// treeModel replays the load of the smaller deployment of section 1 of docs/design/README.md through 20 entries that know the same loads.
 // fleet_test.go replays how load reports reach entries.
-type forest struct {
+type treeModel struct {
 	replay
 	classes  map[string]*modelClass
 	services map[string]*modelService
@@ -38,9 +38,9 @@
 	random   *rand.Rand
 }
 
-func newForest() *forest {
+func newTreeModel() *treeModel {
 	ms := time.Millisecond
-	f := &forest{replay: replay{monitor: NewLoadMonitor()}, random: rand.New(rand.NewPCG(1, 2)), classes: map[string]*modelClass{
+	f := &treeModel{replay: replay{monitor: NewLoadMonitor()}, random: rand.New(rand.NewPCG(1, 2)), classes: map[string]*modelClass{
 		"browse":  {service: "front", time: 190 * ms, nested: []string{"verify"}, rate: 675},
 		"submit":  {service: "desk", time: 250 * ms, nested: []string{"index", "index"}, priority: hemlockcall.Critical, rate: 202},
 		"history": {service: "archive", time: 470 * ms, rate: 180},
@@ -56,7 +56,7 @@
 }
 
 // addDemands adds the demands of one run of a class, which the nodes would have learned, and returns how long the run takes.
-func (f *forest) addDemands(demands map[string]hemlockcall.CallDemand, class string) time.Duration {
+func (f *treeModel) addDemands(demands map[string]hemlockcall.CallDemand, class string) time.Duration {
 	c := f.classes[class]
 	took := c.time
 	for _, n := range c.nested {
@@ -67,7 +67,7 @@
 	return took
 }
 
-func (f *forest) arrive(class string) {
+func (f *treeModel) arrive(class string) {
 	if f.now > 12*time.Second {
 		return
 	}
@@ -88,7 +88,7 @@
 }
 
 // call makes a call and passes on whether it succeeds.
-func (f *forest) call(class string, done func(ok bool)) {
+func (f *treeModel) call(class string, done func(ok bool)) {
 	c := f.classes[class]
 	s := f.services[c.service]
 	refused := f.random.Float64() < s.refused
@@ -138,7 +138,7 @@
 }
 
 // simulate replays the load and checks that the admitted fraction of each class is in its range.
-func (f *forest) simulate(t *testing.T, want map[string][2]float64) {
+func (f *treeModel) simulate(t *testing.T, want map[string][2]float64) {
 	t.Helper()
 	for _, name := range slices.Sorted(maps.Keys(want)) {
 		f.arrive(name)
@@ -156,7 +156,7 @@
 // Guards against requests that are refused because a service that they do not call is full, against trees of a high priority that lose
 // slots to lighter ones of a low priority, and against slots that stay free.
 func TestReplayOfABurstOfOneClass(t *testing.T) {
-	f := newForest()
+	f := newTreeModel()
 	f.classes["browse"].rate *= 2.5
 	f.simulate(t, map[string][2]float64{"browse": {0.3, 0.8}, "submit": {0.98, 1}, "history": {1, 1}, "map": {0.98, 1}})
 	spare := (380 - 202*8*0.055 - 146*0.075) / (4 * 0.055) * 12 // trees for which the deepest service has slots, besides the other calls
@@ -169,14 +169,14 @@
 // trees with few calls there that are held back too. Trees with eight calls there succeed once in 60 times and are probes; those with four
 // calls succeed once in eight and are throttled as a failing class.
 func TestReplayOfARefusingService(t *testing.T) {
-	f := newForest()
+	f := newTreeModel()
 	f.services["grid"].refused = 0.4 // within the retry budget, every fifth of the refused calls succeeds
 	f.simulate(t, map[string][2]float64{"browse": {0.01, 0.25}, "submit": {0.01, 0.15}, "history": {1, 1}, "map": {0.98, 1}})
 }
 
 // Guards against a class that gets nothing while another one of a higher priority, of which half is admitted, uses all slots.
 func TestReplayStarvesNoClass(t *testing.T) {
-	f := newForest()
+	f := newTreeModel()
 	f.classes["map"].priority = hemlockcall.Critical
 	f.classes["map"].rate *= 60
 	f.simulate(t, map[string][2]float64{"browse": {0.13, 1}, "submit": {0.13, 1}, "history": {1, 1}, "map": {0.4, 0.6}})
