--- a/review/harness-2/check.go
+++ b/review/harness-2/check.go
@@ -168,7 +168,9 @@
 	c.platform.Wait()
 	ran := map[string]bool{}
 	for _, u := range upstreams {
-		for _, a := range u.seen() {
+		arrivals := u.seen()
+		c.f.note("%s of service %s ran %d requests", u.id, u.service, len(arrivals))
+		for _, a := range arrivals {
 			ran[a.id] = true
 		}
 	}
