--- a/review/harness-2/slow.go
+++ b/review/harness-2/slow.go
@@ -25,12 +25,12 @@
 }
 
 // readSlowly sends safe requests on one connection, before the first one is answered, reads the answers at 4 KB/s, and leaves when the
-// time limit of the requests has passed. With slow false, it reads without pauses.
-func readSlowly(n *node, requests int, deadline time.Duration, slow bool) {
+// time limit of the requests has passed. With slow false, it reads without pauses. It returns the number of bytes read.
+func readSlowly(n *node, requests int, deadline time.Duration, slow bool) (read int) {
 	c, err := dialSmall(n.outbound)
 	if err != nil {
 		time.Sleep(100 * time.Millisecond)
-		return
+		return 0
 	}
 	defer func() { _ = c.Close() }()
 	var text strings.Builder
@@ -40,7 +40,7 @@
 	end := time.Now().Add(deadline)
 	_ = c.SetDeadline(end)
 	if _, err := c.Write([]byte(text.String())); err != nil {
-		return
+		return 0
 	}
 	size, pause := 64<<10, time.Duration(0)
 	if slow {
@@ -48,8 +48,10 @@
 	}
 	buffer := make([]byte, size)
 	for {
-		if _, err := c.Read(buffer); err != nil {
-			return
+		count, err := c.Read(buffer)
+		read += count
+		if err != nil {
+			return read
 		}
 		time.Sleep(pause)
 	}
@@ -78,7 +80,8 @@
 		clients.Go(func() {
 			time.Sleep(time.Duration(i) * deadline / slowClients)
 			for !over.Load() {
-				readSlowly(entry, requests, deadline, trouble)
+				read := readSlowly(entry, requests, deadline, trouble)
+				f.note("a client sent %d requests and read %d bytes of their answers", requests, read)
 			}
 		})
 	}
