Show refusals of rarely called and of added routes in logs and metrics

No line or metric says that a route was added by a change, nor which routes a change has added, and a request whose quota cannot be checked leaves no line at all.

Change: each class has one line a second for its refusals beside the shared ones. Calls carry the version that added their route: key route-added-in, metric hemlock_entry_calls_by_route_age.

--- a/hemlockcall/relay.go
+++ b/hemlockcall/relay.go
@@ -36,6 +36,9 @@
 	Priority Priority
 	// Class is the name of the route; the service time of a call depends on it.
 	Class string
+	// ClassAddedIn is the version of the configuration that added the route at this node, or 0 if the node has had it since its first one.
+	// It is for logs and metrics, and is not sent on the wire.
+	ClassAddedIn uint64
 	// Idempotent means that the call may run more than once.
 	Idempotent bool
 	// Fingerprint is equal for calls with the same content from the same service.
--- a/hemlockroute/route.go
+++ b/hemlockroute/route.go
@@ -38,6 +38,9 @@
 	MaxTargets int
 	// Public is set if requests need no key. It has no effect without organisations.
 	Public bool
+	// AddedIn is the version with which the route came to the tables that this process has used, or 0 if the first of them had it; see
+	// Table.WithHistory.
+	AddedIn uint64
 }
 
 // Service is the configuration of a service.
--- a/hemlockroute/route_test.go
+++ b/hemlockroute/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -28,6 +29,25 @@
 	}
 }
 
+// Guards against logs and metrics that cannot tell requests on an added route from those on routes that were there before.
+func TestHistoryOfRoutes(t *testing.T) {
+	first := table(1, Route{Name: "old", Host: "h", Prefix: "/old/"}, Route{Name: "dropped", Host: "h", Prefix: "/dropped/"})
+	second := table(4, Route{Name: "old", Host: "h", Prefix: "/moved/"}, Route{Name: "new", Host: "h", Prefix: "/new/"}).WithHistory(first)
+	third := table(6, Route{Name: "new", Host: "h", Prefix: "/new/"}, Route{Name: "old", Host: "h", Prefix: "/old/"},
+		Route{Name: "dropped", Host: "h", Prefix: "/dropped/"}).WithHistory(second)
+	for path, want := range map[string]uint64{"/old/": 0, "/new/": 4, "/dropped/": 6} {
+		if r, _ := third.Match("h", path); r == nil || r.AddedIn != want {
+			t.Errorf("route of %s: %+v, want one that was added in version %d", path, r, want)
+		}
+	}
+	if added, dropped := second.ChangesFrom(first); !slices.Equal(added, []string{"new"}) || !slices.Equal(dropped, []string{"dropped"}) {
+		t.Errorf("added %v and dropped %v, want new and dropped", added, dropped)
+	}
+	if first.WithHistory(nil) != first {
+		t.Error("a first table has a history")
+	}
+}
+
 // Guards against a node that replaces its active routes by an older version, or reports an update by the same version.
 func TestHolderRejectsOlderVersions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/hemlockroute/table.go
+++ b/hemlockroute/table.go
@@ -47,6 +47,47 @@
 	return t
 }
 
+// WithHistory returns a copy of the table whose routes state when they were added, where the previous table is the one that it follows
+// in this process; nil if there is none.
+func (t *Table) WithHistory(previous *Table) *Table {
+	if previous == nil {
+		return t
+	}
+	routes := make([]Route, 0, len(t.byName))
+	for _, hostRoutes := range t.byHost {
+		for _, r := range hostRoutes {
+			route := *r
+			route.AddedIn = t.version
+			if former, known := previous.byName[r.Name]; known {
+				route.AddedIn = former.AddedIn
+			}
+			routes = append(routes, route)
+		}
+	}
+	return NewTable(t.version, routes, t.services, t.limits, WithOrganisations(t.organisations))
+}
+
+// ChangesFrom returns the names of the routes that the previous table lacks, and of those that it has and this one lacks, in order. Both are
+// empty without a previous table.
+func (t *Table) ChangesFrom(previous *Table) (added, dropped []string) {
+	if previous == nil {
+		return nil, nil
+	}
+	return missingNames(t.byName, previous.byName), missingNames(previous.byName, t.byName)
+}
+
+// missingNames returns the names of the routes that other lacks, in order.
+func missingNames(routes, other map[string]*Route) []string {
+	var names []string
+	for name := range routes {
+		if other[name] == nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
--- a/hemlocktelemetry/metrics.go
+++ b/hemlocktelemetry/metrics.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,9 +29,10 @@
 	latency     [2][hemlockcall.PriorityCount]tally.Histogram // duration of calls, by side and priority
 	serviceTime [hemlockcall.PriorityCount]tally.Histogram    // time that the target took, by priority
 
-	mutex    sync.Mutex
-	counters map[outcomeKey]tally.Counter
-	gauges   map[gaugeKey]tally.Gauge
+	mutex     sync.Mutex
+	counters  map[outcomeKey]tally.Counter
+	routeAges map[routeAgeKey]tally.Counter
+	gauges    map[gaugeKey]tally.Gauge
 }
 
 // outcomeKey contains the labels of a counter. Each label has a small set of values, so the number of counters is
@@ -42,6 +44,12 @@
 	reason   string
 }
 
+// routeAgeKey contains the labels of a counter of calls by the age of their route.
+type routeAgeKey struct {
+	added  bool
+	result string
+}
+
 // gaugeKey is the name of a gauge and its only label; label is empty for a gauge without one.
 type gaugeKey struct {
 	name, label, labelValue string
@@ -57,7 +65,8 @@
 		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
 	}, reportInterval)
 	m := &Metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer, counters: map[outcomeKey]tally.Counter{},
-		gauges: map[gaugeKey]tally.Gauge{}}
+		routeAges: map[routeAgeKey]tally.Counter{},
+		gauges:    map[gaugeKey]tally.Gauge{}}
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 	for p := range hemlockcall.PriorityCount {
 		tags := map[string]string{"priority": hemlockcall.Priority(p).String()}
@@ -105,6 +114,22 @@
 	return gauge
 }
 
+// countByRouteAge counts a call of the entry by whether its route was added after the first configuration of this process.
+func (m *Metrics) countByRouteAge(side hemlockrelay.Side, call *hemlockcall.RelayRequest, result string) {
+	if side != hemlockrelay.SideEntry {
+		return
+	}
+	key := routeAgeKey{added: call.ClassAddedIn != 0, result: result}
+	m.mutex.Lock()
+	counter := m.routeAges[key]
+	if counter == nil {
+		counter = m.scope.Tagged(map[string]string{"added": strconv.FormatBool(key.added), "result": result}).Counter("entry_calls_by_route_age")
+		m.routeAges[key] = counter
+	}
+	m.mutex.Unlock()
+	counter.Inc(1)
+}
+
 func (m *Metrics) count(key outcomeKey) {
 	m.mutex.Lock()
 	counter := m.counters[key]
--- a/hemlocktelemetry/observer.go
+++ b/hemlocktelemetry/observer.go
@@ -1,6 +1,7 @@
 package hemlocktelemetry
 
 import (
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -18,6 +19,11 @@
 	successLinesPerSecond = 5
 	// maxFailureBurst is how many failures can be logged in a burst, above the rate.
 	maxFailureBurst = 100
+	// reservedLinesPerSecond is the rate of log lines for the failures of one class that other classes cannot use up, so that a
+	// class with few calls is visible while others fail often.
+	reservedLinesPerSecond = 1
+	// maxReservations limits the number of classes with reserved lines.
+	maxReservations = 256
 )
 
 // Observer counts the outcome of every call and every retry, and logs them up to a maximum rate. It implements
@@ -28,29 +34,53 @@
 	version   func() uint64
 	failures  *rate.Limiter
 	successes *rate.Limiter
+
+	mutex sync.Mutex
+	// reserved are the limiters of reservedLinesPerSecond by class.
+	reserved map[string]*rate.Limiter
 }
 
 // NewObserver returns an observer. The function version returns the version of the active configuration.
 func NewObserver(metrics *Metrics, log logr.Logger, version func() uint64) *Observer {
 	return &Observer{metrics: metrics, log: log, version: version,
 		failures:  rate.NewLimiter(failureLinesPerSecond, maxFailureBurst),
-		successes: rate.NewLimiter(successLinesPerSecond, successLinesPerSecond)}
+		successes: rate.NewLimiter(successLinesPerSecond, successLinesPerSecond), reserved: map[string]*rate.Limiter{}}
+}
+
+// allowFailure reports whether a failure of a call of the class may be logged.
+func (o *Observer) allowFailure(class string) bool {
+	return o.failures.Allow() || o.reservedFor(class).Allow()
+}
+
+func (o *Observer) reservedFor(class string) *rate.Limiter {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	limiter := o.reserved[class]
+	if limiter == nil {
+		if len(o.reserved) >= maxReservations {
+			clear(o.reserved)
+		}
+		limiter = rate.NewLimiter(reservedLinesPerSecond, reservedLinesPerSecond)
+		o.reserved[class] = limiter
+	}
+	return limiter
 }
 
 // Answered implements hemlockrelay.Observer.
 func (o *Observer) Answered(side hemlockrelay.Side, call *hemlockcall.RelayRequest, response *hemlockcall.RelayResponse,
 	took time.Duration) {
 	const minServerError = 500
-	reason, limiter := "ok", o.successes
-	if response.Status >= minServerError {
-		reason, limiter = "target-error", o.failures
+	reason, failed := "ok", response.Status >= minServerError
+	if failed {
+		reason = "target-error"
 	}
 	o.metrics.count(outcomeKey{side: side, priority: call.Priority, verdict: "answered", reason: reason})
+	o.metrics.countByRouteAge(side, call, reason)
 	o.metrics.latency[side][call.Priority].RecordDuration(took)
 	if side == hemlockrelay.SideGate {
 		o.metrics.serviceTime[call.Priority].RecordDuration(response.ServiceTime)
 	}
-	if !limiter.Allow() {
+	if failed && !o.allowFailure(call.Class) || !failed && !o.successes.Allow() {
 		return
 	}
 	o.log.Info("call answered", append(callFields(side, call, took, o.version()),
@@ -64,8 +94,9 @@
 	took time.Duration) {
 	o.metrics.count(outcomeKey{side: side, priority: call.Priority, verdict: refusal.Verdict.String(),
 		reason: string(refusal.Reason)})
+	o.metrics.countByRouteAge(side, call, string(refusal.Reason))
 	o.metrics.latency[side][call.Priority].RecordDuration(took)
-	if !o.failures.Allow() {
+	if !o.allowFailure(call.Class) {
 		return
 	}
 	o.log.Info("call refused", append(callFields(side, call, took, o.version()),
@@ -80,7 +111,7 @@
 func (o *Observer) Retried(call *hemlockcall.RelayRequest, address string, refusal *hemlockcall.Refusal, attempt int) {
 	o.metrics.count(outcomeKey{side: hemlockrelay.SideEntry, priority: call.Priority, verdict: "repeated",
 		reason: string(refusal.Reason)})
-	if !o.failures.Allow() {
+	if !o.allowFailure(call.Class) {
 		return
 	}
 	o.log.Info("attempt refused or late, another follows", append(callFields(hemlockrelay.SideEntry, call, 0, o.version()),
@@ -93,6 +124,9 @@
 	fields := []any{"request", call.ID, "side", side.String(), "class", call.Class, "service", call.Service,
 		"origin", call.CallingService, "priority", call.Priority.String(),
 		"took-ms", milliseconds(took), "remaining-ms", milliseconds(call.Remaining), "configuration", version}
+	if call.ClassAddedIn != 0 {
+		fields = append(fields, "route-added-in", call.ClassAddedIn)
+	}
 	if call.Organisation != "" {
 		fields = append(fields, "organisation", call.Organisation, "organisation-rank", call.OrganisationRank)
 	}
