Count the failures of a class apart for each service that it goes to

What callers saw: where one part of a weighted split fails, requests that the split sends to the part that works are refused with 503, and the fewer are served, the larger the failing part is.

Change: the failed fraction is kept by class and first service.

Evidence: TestFailuresAtAnotherServiceOfTheRouteDoNotCount failed before ('a request to the sound service was refused', with two thirds of the requests to a service that fails). Its other case, a route that is moved away from such a service, passed before, because the admitted fraction has been kept by first service; it is kept as a guard.

--- a/hemlockbackpressure/fleet_test.go
+++ b/hemlockbackpressure/fleet_test.go
@@ -75,7 +75,7 @@
 		t.resume = func() { f.runCall(t, entry, middle) }
 	default:
 		f.after(reportDelay, func() {
-			entry.monitor.RecordCallTreeResult(f.clock(), t.priority.String(), true)
+			entry.monitor.RecordCallTreeResult(f.clock(), t.priority.String(), "first", true)
 			if f.loadReports {
 				entry.monitor.MergeLoads(f.clock(), middle.HighLoads(f.clock()))
 			}
@@ -96,7 +96,7 @@
 			f.nextCall(t, entry, middle)
 			return
 		}
-		entry.monitor.RecordCallTreeResult(f.clock(), t.priority.String(), f.now-t.started > treeDeadline)
+		entry.monitor.RecordCallTreeResult(f.clock(), t.priority.String(), "first", f.now-t.started > treeDeadline)
 		if f.now-t.started <= treeDeadline {
 			f.served[t.priority]++
 		}
--- a/hemlockbackpressure/load_monitor.go
+++ b/hemlockbackpressure/load_monitor.go
@@ -87,7 +87,7 @@
 	services map[string]*serviceLoad
 	// missingUntil is the time until which some service counts as unreachable.
 	missingUntil time.Time
-	failures     map[string]*failureFraction
+	failures     map[classAtService]*failureFraction
 }
 
 // serviceLoad is the record of one service.
@@ -124,7 +124,11 @@
 	}
 }
 
-// failureFraction is the moving average of the fraction of failed call trees of one class.
+// classAtService identifies the call trees of one class whose first call goes to the same service. The parts of a weighted split, and the
+// services that a route leads to before and after a change of the configuration, fail independently.
+type classAtService struct{ class, service string }
+
+// failureFraction is the moving average of the fraction of failed call trees of one class at one service.
 type failureFraction struct {
 	fraction  float64
 	updatedAt time.Time
@@ -138,7 +142,7 @@
 
 // NewLoadMonitor returns a monitor without records.
 func NewLoadMonitor() *LoadMonitor {
-	return &LoadMonitor{services: map[string]*serviceLoad{}, failures: map[string]*failureFraction{}}
+	return &LoadMonitor{services: map[string]*serviceLoad{}, failures: map[classAtService]*failureFraction{}}
 }
 
 // RecordLoad records the load of a service, which the node beside a target reported with the result of a call.
@@ -212,17 +216,18 @@
 	m.missingUntil = now.Add(missingTargetTime)
 }
 
-// RecordCallTreeResult records whether a call tree of a class failed.
-func (m *LoadMonitor) RecordCallTreeResult(now time.Time, class string, failed bool) {
+// RecordCallTreeResult records whether a call tree of a class whose first call went to the service failed.
+func (m *LoadMonitor) RecordCallTreeResult(now time.Time, class, firstService string, failed bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	f := m.failures[class]
+	k := classAtService{class, firstService}
+	f := m.failures[k]
 	if f == nil {
 		if len(m.failures) >= maxClasses {
 			clear(m.failures) // mostly classes that no longer exist; the others are recorded again
 		}
 		f = &failureFraction{updatedAt: now}
-		m.failures[class] = f
+		m.failures[k] = f
 	}
 	sample := 0.0
 	if failed {
@@ -243,11 +248,11 @@
 	Age time.Duration
 }
 
-// FailedFraction returns the fraction of the call trees of a class that failed recently.
-func (m *LoadMonitor) FailedFraction(now time.Time, class string) float64 {
+// FailedFraction returns the fraction of the call trees of a class that failed recently, where their first call went to the service.
+func (m *LoadMonitor) FailedFraction(now time.Time, class, firstService string) float64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if f := m.failures[class]; f != nil {
+	if f := m.failures[classAtService{class, firstService}]; f != nil {
 		return f.value(now)
 	}
 	return 0
--- a/hemlockbackpressure/replay_test.go
+++ b/hemlockbackpressure/replay_test.go
@@ -84,7 +84,7 @@
 // admitReplayed decides on a call tree of the replayed load, of which each priority has one class.
 func admitReplayed(throttle *Throttle, monitor *LoadMonitor, now time.Time, priority hemlockcall.Priority) bool {
 	arrival := Arrival{Class: priority.String(), Service: "first", Priority: priority}
-	return throttle.Admit(now, arrival, monitor.MaxLoad(now, priority, "first"), monitor.FailedFraction(now, arrival.Class)).Admitted
+	return throttle.Admit(now, arrival, monitor.MaxLoad(now, priority, "first"), monitor.FailedFraction(now, arrival.Class, arrival.Service)).Admitted
 }
 
 // call makes the next call of a call tree: the call is started, queued or refused. A refused call ends the call tree.
@@ -95,7 +95,7 @@
 	case len(r.waiting) < deepestQueueSize:
 		r.waiting = append(r.waiting, t)
 	default:
-		r.monitor.RecordCallTreeResult(r.clock(), t.priority.String(), true)
+		r.monitor.RecordCallTreeResult(r.clock(), t.priority.String(), "first", true)
 	}
 	load := float64(r.running+len(r.waiting)) / deepestSlots
 	r.after(reportDelay, func() { r.monitor.RecordLoad(r.clock(), "deepest", load) })
@@ -114,7 +114,7 @@
 			r.call(t)
 			return
 		}
-		r.monitor.RecordCallTreeResult(r.clock(), t.priority.String(), r.now-t.started > treeDeadline)
+		r.monitor.RecordCallTreeResult(r.clock(), t.priority.String(), "first", r.now-t.started > treeDeadline)
 		if r.now-t.started <= treeDeadline {
 			r.served[t.priority]++
 		}
--- a/hemlockbackpressure/throttle_test.go
+++ b/hemlockbackpressure/throttle_test.go
@@ -156,17 +156,17 @@
 	m := NewLoadMonitor()
 	m.RecordLoad(start, "a", 0.5)
 	for i := range 40 {
-		m.RecordCallTreeResult(start.Add(time.Duration(i)*time.Millisecond), "browse", true)
-		m.RecordCallTreeResult(start.Add(time.Duration(i)*time.Millisecond), "order", i%4 == 0)
+		m.RecordCallTreeResult(start.Add(time.Duration(i)*time.Millisecond), "browse", "s", true)
+		m.RecordCallTreeResult(start.Add(time.Duration(i)*time.Millisecond), "order", "s", i%4 == 0)
 	}
 	now := start.Add(40 * time.Millisecond)
-	if load := failingLoad(m.FailedFraction(now, "browse")).Value; load < 4 {
+	if load := failingLoad(m.FailedFraction(now, "browse", "s")).Value; load < 4 {
 		t.Errorf("load %.2f for a class that always fails, want at least 4", load)
 	}
-	if load := failingLoad(m.FailedFraction(now, "order")).Value; load > 1 {
+	if load := failingLoad(m.FailedFraction(now, "order", "s")).Value; load > 1 {
 		t.Errorf("load %.2f for a class of which a quarter fails, want at most 1", load)
 	}
-	if load := failingLoad(m.FailedFraction(now.Add(2*time.Second), "browse")).Value; load > 1 {
+	if load := failingLoad(m.FailedFraction(now.Add(2*time.Second), "browse", "s")).Value; load > 1 {
 		t.Errorf("load %.2f two seconds after the last call tree, want at most 1", load)
 	}
 }
--- a/hemlockbackpressure/tree_load.go
+++ b/hemlockbackpressure/tree_load.go
@@ -144,7 +144,7 @@
 			}
 		}
 	}
-	if f := m.failures[class]; f != nil {
+	if f := m.failures[classAtService{class, firstService}]; f != nil {
 		if failed := f.value(now); failed > failingTreeThreshold && unreachableLoad*failed > load.Value {
 			load.Load, load.Demand = Load{Value: unreachableLoad * failed, Cause: "failing call trees"}, hemlockcall.CallDemand{}
 		}
--- a/hemlockbackpressure/tree_replay_test.go
+++ b/hemlockbackpressure/tree_replay_test.go
@@ -79,7 +79,7 @@
 	if f.trees[f.random.IntN(len(f.trees))].Admit(f.clock(), Tree{class, c.service, c.priority, middleRank}, load).Admitted {
 		c.admitted++
 		f.call(class, func(ok bool) {
-			f.monitor.RecordCallTreeResult(f.clock(), class, !ok)
+			f.monitor.RecordCallTreeResult(f.clock(), class, c.service, !ok)
 			if ok {
 				c.succeeded++
 			}
--- a/hemlockrelay/added_route_test.go
+++ b/hemlockrelay/added_route_test.go
@@ -87,3 +87,48 @@
 		})
 	}
 }
+
+// Guards against requests that are refused at a service that works, because those of their route to another one fail: the other part of a
+// weighted split, or the service that the route led to before a change of the configuration.
+func TestFailuresAtAnotherServiceOfTheRouteDoNotCount(t *testing.T) {
+	const rounds = 100
+	failing := &fakeTarget{respond: func(context.Context, int, *hemlockcall.RelayRequest) (*hemlockcall.RelayResponse, error) {
+		response := okResponse()
+		response.Status = 500
+		return response, nil
+	}}
+	for _, c := range []struct {
+		name string
+		// failingCalls are sent before each sound one, and moved is set if all of them are sent before.
+		failingCalls int
+		moved        bool
+	}{{"two thirds of a split", 2, false}, {"moved", 1, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestEntry(fakeTransport{"a": failing, "b": {}})
+				e.selector.Replace([]hemlockcall.Target{{Address: "a", Zone: "a", Service: "failing", Slots: 10, Ready: true},
+					{Address: "b", Zone: "a", Service: "sound", Slots: 10, Ready: true}})
+				send := func(service string) error {
+					time.Sleep(10 * time.Millisecond)
+					call := newCall()
+					call.Priority, call.Service = hemlockcall.Critical, service
+					_, err := e.Relay(t.Context(), call, 1)
+					return err
+				}
+				for range rounds {
+					for range c.failingCalls {
+						_ = send("failing")
+					}
+					if !c.moved && send("sound") != nil {
+						t.Fatal("a request to the sound service was refused")
+					}
+				}
+				for range rounds {
+					if err := send("sound"); err != nil {
+						t.Fatalf("a request to the sound service was refused: %v", err)
+					}
+				}
+			})
+		})
+	}
+}
--- a/hemlockrelay/entry.go
+++ b/hemlockrelay/entry.go
@@ -116,7 +116,7 @@
 	a := &attempts{entry: e, call: call, deadline: deadline, maxTargets: max(targetLimit, 1)}
 	response, err := a.run(ctx)
 	ended := time.Now()
-	e.monitor.RecordCallTreeResult(ended, call.Class,
+	e.monitor.RecordCallTreeResult(ended, call.Class, call.Service,
 		err != nil && ctx.Err() == nil || err == nil && response.Status >= minServerError)
 	if nested && ctx.Err() == nil {
 		e.recordNested(ended, call, err)
@@ -156,7 +156,8 @@
 		return nil
 	}
 	arrival := hemlockbackpressure.Arrival{Class: call.Class, Service: call.Service, Priority: call.Priority}
-	decision := e.throttle.Admit(now, arrival, e.monitor.MaxLoad(now, call.Priority, call.Service), e.monitor.FailedFraction(now, call.Class))
+	decision := e.throttle.Admit(now, arrival, e.monitor.MaxLoad(now, call.Priority, call.Service),
+		e.monitor.FailedFraction(now, call.Class, call.Service))
 	if decision.Admitted {
 		return nil
 	}
